--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"tincleat.example/tincleat"
-	"tincleat.example/tincleat/internal/wire"
+	"ashwood.example/ashwood"
+	"ashwood.example/ashwood/internal/wire"
 )
 
 func main() {
@@ -42,7 +42,7 @@
 }
 
 // host maps instances to their schedulers, which share nothing.
-type host map[int]*tincleat.Scheduler
+type host map[int]*ashwood.Scheduler
 
 func (h host) answer(line []byte, w *bufio.Writer) error {
 	batch, err := wire.DecodeBatch(line)
@@ -76,17 +76,17 @@
 	return w.Flush()
 }
 
-func (h host) part(batch wire.Batch, part wire.Part) (actions []tincleat.Action, err error) {
+func (h host) part(batch wire.Batch, part wire.Part) (actions []ashwood.Action, err error) {
 	for _, m := range part.Messages {
 		switch m := m.(type) {
 		case *wire.Start:
-			if h[part.Instance], err = tincleat.New(m.Settings, m.Seed); err != nil {
+			if h[part.Instance], err = ashwood.New(m.Settings, m.Seed); err != nil {
 				return nil, err
 			}
 		case wire.Stop:
 			delete(h, part.Instance)
 			actions = nil
-		case tincleat.Event:
+		case ashwood.Event:
 			s := h[part.Instance]
 			if s == nil {
 				return nil, fmt.Errorf("instance %d: event %T before NEW_INSTANCE", part.Instance, m)
--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -10,7 +10,7 @@
 
 // TestMain lets the test binary stand in for the adapter as a process.
 func TestMain(m *testing.M) {
-	if os.Getenv("TINCLEAT_ADAPTER") == "1" {
+	if os.Getenv("ASHWOOD_ADAPTER") == "1" {
 		main()
 		os.Exit(0)
 	}
@@ -32,7 +32,7 @@
 func adapter(t *testing.T, lines ...string) (out, errs string, err error) {
 	t.Helper()
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), "TINCLEAT_ADAPTER=1")
+	cmd.Env = append(os.Environ(), "ASHWOOD_ADAPTER=1")
 	cmd.Stdin = strings.NewReader(strings.Join(lines, "\n") + "\n")
 	var o, e bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &o, &e
--- a/example_test.go
+++ b/example_test.go
@@ -1,39 +1,39 @@
-package tincleat_test
+package ashwood_test
 
 import (
 	"fmt"
 	"time"
 
-	"tincleat.example/tincleat"
+	"ashwood.example/ashwood"
 )
 
 // A node is told the server list and a request, and asks for what is to be done.
 func Example() {
-	s, err := tincleat.New(tincleat.Settings{
+	s, err := ashwood.New(ashwood.Settings{
 		Nodes:   1,
-		Kinds:   []tincleat.Kind{{Name: "prefill", Role: tincleat.RoleRead}, {Name: "decode", Role: tincleat.RoleWrite}},
-		Classes: []tincleat.Class{{Name: "chat", Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Effect: tincleat.Pure}},
+		Kinds:   []ashwood.Kind{{Name: "prefill", Role: ashwood.RoleRead}, {Name: "decode", Role: ashwood.RoleWrite}},
+		Classes: []ashwood.Class{{Name: "chat", Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Effect: ashwood.Pure}},
 	}, 1)
 	if err != nil {
 		panic(err)
 	}
 	now := time.Duration(0)
-	s.Handle(now, tincleat.Members{Form: tincleat.ListWhole, Entries: []tincleat.Server{
-		{ID: "reader-1", Kind: "prefill", State: tincleat.StateOn},
-		{ID: "writer-1", Kind: "decode", State: tincleat.StateOn},
+	s.Handle(now, ashwood.Members{Form: ashwood.ListWhole, Entries: []ashwood.Server{
+		{ID: "reader-1", Kind: "prefill", State: ashwood.StateOn},
+		{ID: "writer-1", Kind: "decode", State: ashwood.StateOn},
 	}}, nil)
-	show := func(out []tincleat.Action) {
+	show := func(out []ashwood.Action) {
 		for _, a := range out {
-			if a, ok := a.(tincleat.Attempt); ok {
+			if a, ok := a.(ashwood.Attempt); ok {
 				fmt.Println("send", a.ID, "to", a.Server)
 			}
 		}
 	}
-	show(s.Handle(now, tincleat.Request{
+	show(s.Handle(now, ashwood.Request{
 		ID: "a", Class: "chat", Session: 7, PromptTokens: 900, TimeLeft: 5 * time.Second,
 	}, nil))
 	now += 80 * time.Millisecond
-	show(s.Handle(now, tincleat.Outcome{ID: "a", Server: "reader-1", Status: tincleat.Parsed}, nil))
+	show(s.Handle(now, ashwood.Outcome{ID: "a", Server: "reader-1", Status: ashwood.Parsed}, nil))
 	// Output:
 	// send a to reader-1
 	// send a to writer-1
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -1,5 +1,5 @@
 // Package wire translates between the JSON wire of a batch and the events and
-// actions of package tincleat. It decides nothing.
+// actions of package ashwood. It decides nothing.
 package wire
 
 import (
@@ -10,7 +10,7 @@
 	"math"
 	"time"
 
-	"tincleat.example/tincleat"
+	"ashwood.example/ashwood"
 )
 
 // Batch is one line of input.
@@ -25,14 +25,14 @@
 	Messages []Message
 }
 
-// Message is one of *Start, Stop and a tincleat.Event. Messages that the
+// Message is one of *Start, Stop and a ashwood.Event. Messages that the
 // library has no use for are left out of a Part.
 type Message any
 
 // Start begins an instance.
 type Start struct {
 	Seed     int64
-	Settings tincleat.Settings
+	Settings ashwood.Settings
 }
 
 // Stop kills an instance.
@@ -179,13 +179,13 @@
 	var in struct {
 		Form    *string `json:"form"`
 		Records []struct {
-			Engine    *tincleat.ServerID `json:"engine"`
-			Zone      *string            `json:"region_part"`
-			Type      *string            `json:"type"`
-			Bay       *int               `json:"bay"`
-			Lifecycle *string            `json:"lifecycle"`
-			Weight    *float64           `json:"weight"`
-			Started   *ms                `json:"start_time"`
+			Engine    *ashwood.ServerID `json:"engine"`
+			Zone      *string           `json:"region_part"`
+			Type      *string           `json:"type"`
+			Bay       *int              `json:"bay"`
+			Lifecycle *string           `json:"lifecycle"`
+			Weight    *float64          `json:"weight"`
+			Started   *ms               `json:"start_time"`
 		} `json:"records"`
 	}
 	if err := unmarshal(name, raw, &in); err != nil {
@@ -198,7 +198,7 @@
 	if !ok {
 		return nil, unknown(name, "form", *in.Form)
 	}
-	e := tincleat.Members{Form: form}
+	e := ashwood.Members{Form: form}
 	for _, r := range in.Records {
 		if err := require(name, field{"engine", r.Engine != nil}, field{"lifecycle", r.Lifecycle != nil}); err != nil {
 			return nil, err
@@ -207,7 +207,7 @@
 		if !ok {
 			return nil, unknown(name, "lifecycle", *r.Lifecycle)
 		}
-		e.Entries = append(e.Entries, tincleat.Server{
+		e.Entries = append(e.Entries, ashwood.Server{
 			ID: *r.Engine, Zone: opt(r.Zone), Kind: opt(r.Type), Cell: opt(r.Bay),
 			State: state, Weight: opt(r.Weight), Started: opt(r.Started).duration(),
 		})
@@ -215,13 +215,13 @@
 	return e, nil
 }
 
-var listForms = map[string]tincleat.ListForm{
-	"patch": tincleat.ListPatch, "whole": tincleat.ListWhole,
-	"stale_copy": tincleat.ListStale, "broken": tincleat.ListBroken,
+var listForms = map[string]ashwood.ListForm{
+	"patch": ashwood.ListPatch, "whole": ashwood.ListWhole,
+	"stale_copy": ashwood.ListStale, "broken": ashwood.ListBroken,
 }
 
-var states = map[string]tincleat.ServerState{
-	"on": tincleat.StateOn, "fading": tincleat.StateFading, "off": tincleat.StateOff,
+var states = map[string]ashwood.ServerState{
+	"on": ashwood.StateOn, "fading": ashwood.StateFading, "off": ashwood.StateOff,
 }
 
 // tenantName is a tenant's name; sites without tenants may write 0.
@@ -238,18 +238,18 @@
 func decodeRequest(raw []byte) (Message, error) {
 	const name = "CALL"
 	var in struct {
-		ID       *tincleat.RequestID `json:"tid"`
-		Talk     *uint64             `json:"talk"`
-		Again    *bool               `json:"again"`
-		Customer tenantName          `json:"customer"`
-		Estimate *float64            `json:"estimate"`
-		Shared   *float64            `json:"shared_len"`
-		Left     *ms                 `json:"time_left"`
-		Prefix   *uint64             `json:"shared_prefix"`
-		Retry    *bool               `json:"again_by_client"`
-		Prompt   *float64            `json:"prompt_tokens"`
-		Max      *float64            `json:"n_max"`
-		Service  *string             `json:"service"`
+		ID       *ashwood.RequestID `json:"tid"`
+		Talk     *uint64            `json:"talk"`
+		Again    *bool              `json:"again"`
+		Customer tenantName         `json:"customer"`
+		Estimate *float64           `json:"estimate"`
+		Shared   *float64           `json:"shared_len"`
+		Left     *ms                `json:"time_left"`
+		Prefix   *uint64            `json:"shared_prefix"`
+		Retry    *bool              `json:"again_by_client"`
+		Prompt   *float64           `json:"prompt_tokens"`
+		Max      *float64           `json:"n_max"`
+		Service  *string            `json:"service"`
 	}
 	if err := unmarshal(name, raw, &in); err != nil {
 		return nil, err
@@ -262,7 +262,7 @@
 	if err := notNegative(name, "prompt_tokens", opt(in.Prompt)); err != nil {
 		return nil, err
 	}
-	return tincleat.Request{
+	return ashwood.Request{
 		ID: *in.ID, Class: *in.Service, Tenant: string(in.Customer), Session: opt(in.Talk),
 		Prefix: opt(in.Prefix), PrefixTokens: opt(in.Shared), PromptTokens: opt(in.Prompt),
 		MaxOut: opt(in.Max), TimeLeft: in.Left.duration(), Retry: opt(in.Retry),
@@ -271,9 +271,9 @@
 
 // attemptLine holds the fields that name an attempt.
 type attemptLine struct {
-	ID      *tincleat.RequestID `json:"tid"`
+	ID      *ashwood.RequestID  `json:"tid"`
 	Round   *int                `json:"round_no"`
-	Engine  *tincleat.ServerID  `json:"engine"`
+	Engine  *ashwood.ServerID   `json:"engine"`
 	Wait    *ms                 `json:"wait_time"`
 	Topic   *int                `json:"topic"`
 	Done    *bool               `json:"done_flag"`
@@ -296,7 +296,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return tincleat.First{ID: *in.ID, Attempt: *in.Round, Server: *in.Engine, Latency: opt(in.Wait).duration()}, nil
+	return ashwood.First{ID: *in.ID, Attempt: *in.Round, Server: *in.Engine, Latency: opt(in.Wait).duration()}, nil
 }
 
 func decodeNote(raw []byte) (Message, error) {
@@ -311,17 +311,17 @@
 	if *in.Topic != 1 && *in.Topic != 2 {
 		return nil, unknown(name, "topic", fmt.Sprint(*in.Topic))
 	}
-	return tincleat.PlaceNote{ID: *in.ID, Attempt: *in.Round, Server: *in.Engine, Held: *in.Topic == 1}, nil
+	return ashwood.PlaceNote{ID: *in.ID, Attempt: *in.Round, Server: *in.Engine, Held: *in.Topic == 1}, nil
 }
 
-var statuses = map[string]tincleat.Status{
-	"served": tincleat.Served, "server_error": tincleat.ServerError, "turned_away": tincleat.TurnedAway,
-	"no_answer": tincleat.NoAnswer, "no_connection": tincleat.NoConnection,
-	"connection_lost": tincleat.ConnectionLost, "called_off": tincleat.CalledOff,
-	"not_sent": tincleat.NotSent, "parsed": tincleat.Parsed,
+var statuses = map[string]ashwood.Status{
+	"served": ashwood.Served, "server_error": ashwood.ServerError, "turned_away": ashwood.TurnedAway,
+	"no_answer": ashwood.NoAnswer, "no_connection": ashwood.NoConnection,
+	"connection_lost": ashwood.ConnectionLost, "called_off": ashwood.CalledOff,
+	"not_sent": ashwood.NotSent, "parsed": ashwood.Parsed,
 }
 
-func decodeStatus(name string, in attemptLine) (tincleat.Status, error) {
+func decodeStatus(name string, in attemptLine) (ashwood.Status, error) {
 	if in.Status == nil {
 		return 0, missing(name, "disposition")
 	}
@@ -342,22 +342,22 @@
 	if err != nil {
 		return nil, err
 	}
-	return tincleat.Outcome{
+	return ashwood.Outcome{
 		ID: *in.ID, Attempt: *in.Round, Server: *in.Engine, Status: st, Done: opt(in.Done),
 		Note: opt(in.Note), Latency: opt(in.Wait).duration(), Report: report(in.Load),
 	}, nil
 }
 
 var reportNames = map[string]string{
-	"busy_reqs": tincleat.ReportInFlight, "pending": tincleat.ReportQueue, "x0": tincleat.ReportMemory,
+	"busy_reqs": ashwood.ReportInFlight, "pending": ashwood.ReportQueue, "x0": ashwood.ReportMemory,
 }
 
-func report(load map[string]*float64) tincleat.Report {
-	var r tincleat.Report
+func report(load map[string]*float64) ashwood.Report {
+	var r ashwood.Report
 	for wire, name := range reportNames {
 		if v := load[wire]; v != nil {
 			if r == nil {
-				r = tincleat.Report{}
+				r = ashwood.Report{}
 			}
 			r[name] = *v
 		}
@@ -374,7 +374,7 @@
 	if in.ID == nil {
 		return nil, missing(name, "tid")
 	}
-	return tincleat.Gone{ID: *in.ID}, nil
+	return ashwood.Gone{ID: *in.ID}, nil
 }
 
 func decodeTimer(raw []byte) (Message, error) {
@@ -386,7 +386,7 @@
 	if in.KeyBack == nil {
 		return nil, missing(name, "key_back")
 	}
-	return tincleat.Timer{Token: *in.KeyBack}, nil
+	return ashwood.Timer{Token: *in.KeyBack}, nil
 }
 
 func decodeProbed(raw []byte) (Message, error) {
@@ -402,7 +402,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return tincleat.Probed{
+	return ashwood.Probed{
 		Server: *in.Engine, Status: st, Latency: opt(in.Wait).duration(), Report: report(in.Load),
 	}, nil
 }
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"tincleat.example/tincleat"
+	"ashwood.example/ashwood"
 )
 
 // Reply is one line of output.
@@ -20,15 +20,15 @@
 }
 
 type command struct {
-	Cmd     string             `json:"cmd"`
-	ID      tincleat.RequestID `json:"tid,omitempty"`
-	Engine  tincleat.ServerID  `json:"engine,omitempty"`
-	Round   *int               `json:"round_no,omitempty"`
-	Within  *float64           `json:"within,omitempty"`
-	Pause   *float64           `json:"pause,omitempty"`
-	When    *float64           `json:"when,omitempty"`
-	KeyBack *uint64            `json:"key_back,omitempty"`
-	On      *bool              `json:"on,omitempty"`
+	Cmd     string            `json:"cmd"`
+	ID      ashwood.RequestID `json:"tid,omitempty"`
+	Engine  ashwood.ServerID  `json:"engine,omitempty"`
+	Round   *int              `json:"round_no,omitempty"`
+	Within  *float64          `json:"within,omitempty"`
+	Pause   *float64          `json:"pause,omitempty"`
+	When    *float64          `json:"when,omitempty"`
+	KeyBack *uint64           `json:"key_back,omitempty"`
+	On      *bool             `json:"on,omitempty"`
 }
 
 // EncodeReply writes one line of output, without its end.
@@ -45,25 +45,25 @@
 }
 
 // EncodeAction gives the wire form of an action.
-func EncodeAction(a tincleat.Action) (any, error) {
+func EncodeAction(a ashwood.Action) (any, error) {
 	switch a := a.(type) {
-	case tincleat.Attempt:
+	case ashwood.Attempt:
 		return command{Cmd: "RELAY", ID: a.ID, Engine: a.Server, Within: millis(a.Timeout)}, nil
-	case tincleat.Ahead:
+	case ashwood.Ahead:
 		return command{Cmd: "SET_ASIDE", ID: a.ID, Engine: a.Server}, nil
-	case tincleat.Release:
+	case ashwood.Release:
 		return command{Cmd: "UNHOLD", ID: a.ID}, nil
-	case tincleat.Cancel:
+	case ashwood.Cancel:
 		return command{Cmd: "REVOKE", ID: a.ID, Round: &a.Attempt}, nil
-	case tincleat.Refuse:
+	case ashwood.Refuse:
 		return command{Cmd: "PUSH_BACK", ID: a.ID, Pause: millis(a.RetryAfter)}, nil
-	case tincleat.Fail:
+	case ashwood.Fail:
 		return command{Cmd: "DROP_REQUEST", ID: a.ID}, nil
-	case tincleat.SetTimer:
+	case ashwood.SetTimer:
 		return command{Cmd: "AFTER", When: millis(a.At), KeyBack: &a.Token}, nil
-	case tincleat.Probe:
+	case ashwood.Probe:
 		return command{Cmd: "POLL", Engine: a.Server}, nil
-	case tincleat.Watch:
+	case ashwood.Watch:
 		on := true
 		return command{Cmd: "SUBSCRIBE", On: &on}, nil
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"tincleat.example/tincleat"
+	"ashwood.example/ashwood"
 )
 
 type setupLine struct {
@@ -62,16 +62,16 @@
 }
 
 var (
-	roles   = map[string]tincleat.Role{"read": tincleat.RoleRead, "write": tincleat.RoleWrite, "both": tincleat.RoleBoth}
-	effects = map[string]tincleat.Effect{
-		"pure": tincleat.Pure, "token": tincleat.Token, "side_effect": tincleat.SideEffect,
+	roles   = map[string]ashwood.Role{"read": ashwood.RoleRead, "write": ashwood.RoleWrite, "both": ashwood.RoleBoth}
+	effects = map[string]ashwood.Effect{
+		"pure": ashwood.Pure, "token": ashwood.Token, "side_effect": ashwood.SideEffect,
 	}
-	scopes = map[string]tincleat.Scope{
-		"": tincleat.ScopeAll, "all": tincleat.ScopeAll, "zone": tincleat.ScopeZone, "cell": tincleat.ScopeCell,
+	scopes = map[string]ashwood.Scope{
+		"": ashwood.ScopeAll, "all": ashwood.ScopeAll, "zone": ashwood.ScopeZone, "cell": ashwood.ScopeCell,
 	}
-	modes = map[string]tincleat.ReportMode{
-		"": tincleat.ReportNone, "off": tincleat.ReportNone,
-		"on_probe": tincleat.ReportProbe, "inline": tincleat.ReportInline,
+	modes = map[string]ashwood.ReportMode{
+		"": ashwood.ReportNone, "off": ashwood.ReportNone,
+		"on_probe": ashwood.ReportProbe, "inline": ashwood.ReportInline,
 	}
 )
 
@@ -101,26 +101,26 @@
 	return v
 }
 
-func (in *setupLine) settings(name string) (tincleat.Settings, error) {
+func (in *setupLine) settings(name string) (ashwood.Settings, error) {
 	mode, ok := modes[in.Report.How]
 	if !ok {
-		return tincleat.Settings{}, unknown(name, "report.how", in.Report.How)
+		return ashwood.Settings{}, unknown(name, "report.how", in.Report.How)
 	}
 	if d := in.Discovery; d != "" && d != "automatic" && d != "subscribe" {
-		return tincleat.Settings{}, unknown(name, "discovery", d)
+		return ashwood.Settings{}, unknown(name, "discovery", d)
 	}
-	set := tincleat.Settings{
+	set := ashwood.Settings{
 		Node: in.Number, Nodes: in.Siblings, Zone: in.Locality,
 		OverShareWorth: in.OverShare, WorthByWork: in.WorthBy == "work",
 		Subscribe: in.Discovery == "subscribe", Reports: mode, ReportFields: in.Report.Fields,
 		Ahead: in.Family.Ahead, WritersRead: in.Family.WritersRead, Resume: in.Family.Resume,
-		Limits: tincleat.Limits{
+		Limits: ashwood.Limits{
 			MaxAttempts: in.Ceilings.Attempts, Cancel: in.Ceilings.Cancel, SecondCopies: in.Ceilings.Copies,
 			Probes: in.Ceilings.Probes, RetryAfter: in.Ceilings.RetryAfter,
 			MaxRetryAfter:  in.Ceilings.MaxRetryAfter.duration(),
 			ConnectTimeout: in.Ceilings.Connect.duration(),
 		},
-		Rules: tincleat.Rules{
+		Rules: ashwood.Rules{
 			FallMultiple: in.Obligations.Multiple, FallWindow: in.Obligations.Fall.duration(),
 			ColdFrom: in.Obligations.Start, ColdTime: in.Obligations.Warm.duration(),
 			Release: in.Family.Release.duration(), AskWithin: in.Obligations.Ask.duration(),
@@ -131,7 +131,7 @@
 		if !ok {
 			return set, unknown(name, "family_info.kind_role", at(in.Family.Roles, i))
 		}
-		set.Kinds = append(set.Kinds, tincleat.Kind{Name: k, Role: role, MemoryTokens: at(in.Family.Tokens, i)})
+		set.Kinds = append(set.Kinds, ashwood.Kind{Name: k, Role: role, MemoryTokens: at(in.Family.Tokens, i)})
 	}
 	for i, l := range in.Lanes {
 		effect, ok := effects[l.Effect]
@@ -142,7 +142,7 @@
 		if !ok {
 			return set, unknown(name, "lanes.group", l.Group)
 		}
-		set.Classes = append(set.Classes, tincleat.Class{
+		set.Classes = append(set.Classes, ashwood.Class{
 			Name: l.Name, Aim: l.Aim.duration(), Deadline: l.Dead.duration(), Worth: l.Worth, LateShare: l.Late,
 			Effect: effect, Group: scope, Window: l.Window.duration(),
 			TokenAim: at(in.Family.TokenAim, i).duration(),
@@ -150,7 +150,7 @@
 		})
 	}
 	for _, t := range in.Tenants {
-		set.Tenants = append(set.Tenants, tincleat.Tenant{Name: t.Name, Share: t.Share, QuotaPerSec: t.Quota})
+		set.Tenants = append(set.Tenants, ashwood.Tenant{Name: t.Name, Share: t.Share, QuotaPerSec: t.Quota})
 	}
 	return set, nil
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"tincleat.example/tincleat"
+	"ashwood.example/ashwood"
 )
 
 const ms1 = time.Millisecond
@@ -18,32 +18,32 @@
 	}{
 		{`{"cmd":"STOP"}`, Stop{}},
 		{`{"cmd":"DATAGRAM","by":2,"content":"aGkgNw=="}`, nil},
-		{`{"cmd":"HANGUP","tid":"q","extra":1}`, tincleat.Gone{ID: "q"}},
-		{`{"cmd":"RING","key_back":77}`, tincleat.Timer{Token: 77}},
-		{`{"cmd":"SYNC","form":"broken","generation":null,"records":null}`, tincleat.Members{Form: tincleat.ListBroken}},
+		{`{"cmd":"HANGUP","tid":"q","extra":1}`, ashwood.Gone{ID: "q"}},
+		{`{"cmd":"RING","key_back":77}`, ashwood.Timer{Token: 77}},
+		{`{"cmd":"SYNC","form":"broken","generation":null,"records":null}`, ashwood.Members{Form: ashwood.ListBroken}},
 		{`{"cmd":"SYNC","form":"patch","records":[{"engine":"s:1","region_part":"a","type":"k","bay":3,` +
 			`"lifecycle":"fading","weight":1.5,"start_time":6100.5}]}`,
-			tincleat.Members{Form: tincleat.ListPatch, Entries: []tincleat.Server{{ID: "s:1", Zone: "a", Kind: "k",
-				Cell: 3, State: tincleat.StateFading, Weight: 1.5, Started: 6100500 * time.Microsecond}}}},
+			ashwood.Members{Form: ashwood.ListPatch, Entries: []ashwood.Server{{ID: "s:1", Zone: "a", Kind: "k",
+				Cell: 3, State: ashwood.StateFading, Weight: 1.5, Started: 6100500 * time.Microsecond}}}},
 		{`{"cmd":"CALL","tid":"q","talk":9,"again":false,"customer":"t","estimate":null,"shared_len":120,` +
 			`"time_left":240.25,"shared_prefix":8,"again_by_client":true,"prompt_tokens":180,"n_max":25,"service":"c"}`,
-			tincleat.Request{ID: "q", Class: "c", Tenant: "t", Session: 9, Prefix: 8, PrefixTokens: 120,
+			ashwood.Request{ID: "q", Class: "c", Tenant: "t", Session: 9, Prefix: 8, PrefixTokens: 120,
 				PromptTokens: 180, MaxOut: 25, TimeLeft: 240250 * time.Microsecond, Retry: true}},
 		{`{"cmd":"CALL","tid":"q","customer":0,"time_left":1,"service":"c"}`,
-			tincleat.Request{ID: "q", Class: "c", TimeLeft: ms1}},
+			ashwood.Request{ID: "q", Class: "c", TimeLeft: ms1}},
 		{`{"cmd":"HEAD_RECEIVED","tid":"q","round_no":1,"engine":"s","wait_time":9.25}`,
-			tincleat.First{ID: "q", Attempt: 1, Server: "s", Latency: 9250 * time.Microsecond}},
+			ashwood.First{ID: "q", Attempt: 1, Server: "s", Latency: 9250 * time.Microsecond}},
 		{`{"cmd":"PLACE_NOTE","tid":"q","round_no":0,"engine":"s","topic":1,"level":0}`,
-			tincleat.PlaceNote{ID: "q", Server: "s", Held: true}},
+			ashwood.PlaceNote{ID: "q", Server: "s", Held: true}},
 		{`{"cmd":"PLACE_NOTE","tid":"q","round_no":0,"engine":"s","topic":2,"level":0}`,
-			tincleat.PlaceNote{ID: "q", Server: "s"}},
+			ashwood.PlaceNote{ID: "q", Server: "s"}},
 		{`{"cmd":"FINISHED","tid":"q","done_flag":true,"note":64,"round_no":2,"engine":"s","wait_time":18.5,` +
 			`"disposition":"parsed","load":{"busy_reqs":7,"x0":0.4,"new_key":1,"pending":null}}`,
-			tincleat.Outcome{ID: "q", Attempt: 2, Server: "s", Status: tincleat.Parsed, Done: true, Note: 64,
+			ashwood.Outcome{ID: "q", Attempt: 2, Server: "s", Status: ashwood.Parsed, Done: true, Note: 64,
 				Latency: 18500 * time.Microsecond,
-				Report:  tincleat.Report{tincleat.ReportInFlight: 7, tincleat.ReportMemory: 0.4}}},
+				Report:  ashwood.Report{ashwood.ReportInFlight: 7, ashwood.ReportMemory: 0.4}}},
 		{`{"cmd":"CHECKED","disposition":"no_answer","engine":"s","wait_time":250,"load":null}`,
-			tincleat.Probed{Server: "s", Status: tincleat.NoAnswer, Latency: 250 * ms1}},
+			ashwood.Probed{Server: "s", Status: ashwood.NoAnswer, Latency: 250 * ms1}},
 	}
 	for _, tt := range tests {
 		got, err := decodeMessage([]byte(tt.in))
@@ -56,7 +56,7 @@
 func TestDecodeStatuses(t *testing.T) {
 	for word, want := range statuses {
 		m, err := decodeMessage([]byte(`{"cmd":"FINISHED","tid":"q","round_no":0,"engine":"s","disposition":"` + word + `"}`))
-		if o, ok := m.(tincleat.Outcome); err != nil || !ok || o.Status != want {
+		if o, ok := m.(ashwood.Outcome); err != nil || !ok || o.Status != want {
 			t.Errorf("%s: %#v, %v", word, m, err)
 		}
 	}
@@ -75,18 +75,18 @@
 	"retry_after":true,"max_retry_after":2000,"connect_timeout":250},"obligations":{"fall_multiple":3,"fall":1500,
 	"start_capacity":0.26,"warm_within":14000,"ask_every":10000},"report":{"how":"on_probe","fields":["x0"]}}}`
 	got, err := decodeMessage([]byte(in))
-	want := &Start{Seed: 5, Settings: tincleat.Settings{
+	want := &Start{Seed: 5, Settings: ashwood.Settings{
 		Node: 1, Nodes: 2, Zone: "a", OverShareWorth: 0.1, WorthByWork: true, Subscribe: true,
-		Reports: tincleat.ReportProbe, ReportFields: []string{"x0"}, Ahead: true, WritersRead: true, Resume: true,
-		Kinds: []tincleat.Kind{{Name: "r", Role: tincleat.RoleRead, MemoryTokens: 10},
-			{Name: "w", Role: tincleat.RoleBoth, MemoryTokens: 20}},
-		Classes: []tincleat.Class{{Name: "c", Aim: time.Second, Deadline: 5 * time.Second, Worth: 2, LateShare: 0.3,
-			Effect: tincleat.Token, Group: tincleat.ScopeZone, Window: 4 * time.Second, TokenAim: 50 * ms1,
+		Reports: ashwood.ReportProbe, ReportFields: []string{"x0"}, Ahead: true, WritersRead: true, Resume: true,
+		Kinds: []ashwood.Kind{{Name: "r", Role: ashwood.RoleRead, MemoryTokens: 10},
+			{Name: "w", Role: ashwood.RoleBoth, MemoryTokens: 20}},
+		Classes: []ashwood.Class{{Name: "c", Aim: time.Second, Deadline: 5 * time.Second, Worth: 2, LateShare: 0.3,
+			Effect: ashwood.Token, Group: ashwood.ScopeZone, Window: 4 * time.Second, TokenAim: 50 * ms1,
 			AimPer1K: 60 * ms1}},
-		Tenants: []tincleat.Tenant{{Name: "t", Share: 0.5, QuotaPerSec: 7}},
-		Limits: tincleat.Limits{MaxAttempts: 4, Cancel: true, SecondCopies: true, Probes: true, RetryAfter: true,
+		Tenants: []ashwood.Tenant{{Name: "t", Share: 0.5, QuotaPerSec: 7}},
+		Limits: ashwood.Limits{MaxAttempts: 4, Cancel: true, SecondCopies: true, Probes: true, RetryAfter: true,
 			MaxRetryAfter: 2 * time.Second, ConnectTimeout: 250 * ms1},
-		Rules: tincleat.Rules{FallMultiple: 3, FallWindow: 1500 * ms1, ColdFrom: 0.26, ColdTime: 14 * time.Second,
+		Rules: ashwood.Rules{FallMultiple: 3, FallWindow: 1500 * ms1, ColdFrom: 0.26, ColdTime: 14 * time.Second,
 			Release: 500 * ms1, AskWithin: 10 * time.Second},
 	}}
 	if err != nil || !reflect.DeepEqual(got, want) {
@@ -133,19 +133,19 @@
 
 func TestEncodeActions(t *testing.T) {
 	tests := []struct {
-		in   tincleat.Action
+		in   ashwood.Action
 		want string
 	}{
-		{tincleat.Attempt{ID: "q", Server: "s", Timeout: 80500 * time.Microsecond},
+		{ashwood.Attempt{ID: "q", Server: "s", Timeout: 80500 * time.Microsecond},
 			`{"cmd":"RELAY","tid":"q","engine":"s","within":80.5}`},
-		{tincleat.Ahead{ID: "q", Server: "s"}, `{"cmd":"SET_ASIDE","tid":"q","engine":"s"}`},
-		{tincleat.Release{ID: "q"}, `{"cmd":"UNHOLD","tid":"q"}`},
-		{tincleat.Cancel{ID: "q"}, `{"cmd":"REVOKE","tid":"q","round_no":0}`},
-		{tincleat.Refuse{ID: "q"}, `{"cmd":"PUSH_BACK","tid":"q","pause":0}`},
-		{tincleat.Fail{ID: "q"}, `{"cmd":"DROP_REQUEST","tid":"q"}`},
-		{tincleat.SetTimer{At: 5 * ms1, Token: 3}, `{"cmd":"AFTER","when":5,"key_back":3}`},
-		{tincleat.Probe{Server: "s"}, `{"cmd":"POLL","engine":"s"}`},
-		{tincleat.Watch{}, `{"cmd":"SUBSCRIBE","on":true}`},
+		{ashwood.Ahead{ID: "q", Server: "s"}, `{"cmd":"SET_ASIDE","tid":"q","engine":"s"}`},
+		{ashwood.Release{ID: "q"}, `{"cmd":"UNHOLD","tid":"q"}`},
+		{ashwood.Cancel{ID: "q"}, `{"cmd":"REVOKE","tid":"q","round_no":0}`},
+		{ashwood.Refuse{ID: "q"}, `{"cmd":"PUSH_BACK","tid":"q","pause":0}`},
+		{ashwood.Fail{ID: "q"}, `{"cmd":"DROP_REQUEST","tid":"q"}`},
+		{ashwood.SetTimer{At: 5 * ms1, Token: 3}, `{"cmd":"AFTER","when":5,"key_back":3}`},
+		{ashwood.Probe{Server: "s"}, `{"cmd":"POLL","engine":"s"}`},
+		{ashwood.Watch{}, `{"cmd":"SUBSCRIBE","on":true}`},
 	}
 	for _, tt := range tests {
 		v, err := EncodeAction(tt.in)
--- a/scheduler.go
+++ b/scheduler.go
@@ -1,8 +1,8 @@
-// Package tincleat decides, for one node, where prompts are read and answers
+// Package ashwood decides, for one node, where prompts are read and answers
 // are written: prefix-cache-aware routing over readers (prefill), then the
 // roomiest nearby writer (decode). This file holds every decision, table and
 // tuned value; the interface (settings, events, actions) is in types.go.
-package tincleat
+package ashwood
 
 import (
 	"cmp"
--- a/settings.go
+++ b/settings.go
@@ -1,4 +1,4 @@
-package tincleat
+package ashwood
 
 import (
 	"errors"
@@ -8,16 +8,16 @@
 // check tells what is impossible about settings.
 func (set Settings) check() error {
 	if len(set.Kinds) == 0 || len(set.Classes) == 0 {
-		return errors.New("tincleat: settings name no kind of server or no class of requests")
+		return errors.New("ashwood: settings name no kind of server or no class of requests")
 	}
 	for _, k := range set.Kinds {
 		if k.Role < RoleRead || k.Role > RoleBoth {
-			return fmt.Errorf("tincleat: kind %q has no role", k.Name)
+			return fmt.Errorf("ashwood: kind %q has no role", k.Name)
 		}
 	}
 	for _, c := range set.Classes {
 		if c.Deadline <= 0 || c.Effect < Pure || c.Effect > SideEffect {
-			return fmt.Errorf("tincleat: class %q lacks a deadline or an effect", c.Name)
+			return fmt.Errorf("ashwood: class %q lacks a deadline or an effect", c.Name)
 		}
 	}
 	r := set.Rules
@@ -30,7 +30,7 @@
 		{"the release time", float64(r.Release)}, {"the fall window", float64(r.FallWindow)},
 	} {
 		if f.value < 0 {
-			return fmt.Errorf("tincleat: %s is below zero", f.name)
+			return fmt.Errorf("ashwood: %s is below zero", f.name)
 		}
 	}
 	return nil
--- a/storm_test.go
+++ b/storm_test.go
@@ -1,4 +1,4 @@
-package tincleat
+package ashwood
 
 import (
 	"fmt"
