--- /dev/null
+++ b/facade.go
@@ -0,0 +1,410 @@
+package ashwood
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+)
+
+// This file is the module's blocking face: a Router may be used by many
+// goroutines, and its users see neither events nor actions. Times are
+// milliseconds here; they become the module's durations in this file alone.
+
+// Clock tells the time in milliseconds since the Unix epoch.
+type Clock interface{ Now() float64 }
+
+// Errors of Pick.
+var (
+	ErrUnknownClass = errors.New("ashwood: unknown class of requests")
+	ErrDuplicate    = errors.New("ashwood: a request of this id is being served")
+)
+
+// Call is what the decisions need to know of a client's try.
+type Call struct {
+	ID           RequestID
+	Class        string
+	Tenant       string
+	Session      uint64
+	Prefix       uint64 // the beginning shared with other sessions; 0 = none
+	PrefixTokens float64
+	PromptTokens float64
+	MaxOut       float64
+	Remaining    float64 // ms that the client waits for the first token
+	Retry        bool
+}
+
+// StepKind tells what is to be done for a request.
+type StepKind int
+
+// The kinds of steps.
+const (
+	StepSend    StepKind = iota + 1 // send to Engine, then Report how it ended
+	StepRelease                     // only let go of what is held, then call Next
+	StepRefuse                      // final: trying again does no harm
+	StepFail                        // final: promises nothing
+	StepOver                        // nothing is owed any more
+)
+
+// Step is the next thing to do for a request.
+type Step struct {
+	Kind    StepKind
+	Release bool // first let go of all that is held for the request
+
+	// With StepSend:
+	Attempt int
+	Engine  Server
+	Reads   bool            // Engine is a reader: it answers with a read state
+	Timeout float64         // ms to wait for the first token
+	Context context.Context // ends when the attempt is called off or the client leaves
+	Place   Server          // a writer to ask ahead for a place; no ID = none
+
+	RetryAfter float64 // with StepRefuse: ms to stay away, 0 = no advice
+}
+
+// Result tells how an attempt ended.
+type Result struct {
+	Status Status
+	Note   float64 // kept tokens, or 1 with TurnedAway: no state to fetch
+	Report Report
+}
+
+// Router makes the decisions of one node for many goroutines.
+type Router struct {
+	clock Clock
+	probe func(Server)
+
+	mu      sync.Mutex
+	sched   *Scheduler
+	flights map[RequestID]*flight
+	timers  timerHeap
+	wake    chan struct{}
+}
+
+// flight is a request on its way through the router.
+type flight struct {
+	ctx     context.Context
+	ready   chan struct{} // something below has changed
+	step    Step          // the next one; Kind 0 = not known yet
+	place   Server        // a place to ask for while a read is out
+	release bool
+	over    bool
+	out     int // attempts
+	sent    []float64
+	cancel  []context.CancelFunc
+}
+
+// NewRouter makes a router. Its user calls Tick as that asks, and carries out
+// probes with probe, which must not block.
+func NewRouter(set Settings, seed int64, clock Clock, probe func(Server)) (*Router, error) {
+	s, err := New(set, seed)
+	if err != nil {
+		return nil, err
+	}
+	return &Router{
+		clock: clock, probe: probe, sched: s, flights: map[RequestID]*flight{}, wake: make(chan struct{}, 1),
+	}, nil
+}
+
+// Update tells the router of news of the server list.
+func (t *Router) Update(form ListForm, list []Server) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.handle(Members{Form: form, Entries: list})
+}
+
+// Accepts tells whether a server may be sent new work at this moment.
+func (t *Router) Accepts(id ServerID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.sched.servers[id]
+	return v != nil && v.listed
+}
+
+// Pick takes in a request and waits for its first step. When ctx ends, the
+// client has left. What it answers with StepSend is owed a Report.
+func (t *Router) Pick(ctx context.Context, c Call) (Step, error) {
+	f, err := t.take(ctx, c)
+	if err != nil {
+		return Step{}, err
+	}
+	return t.wait(c.ID, f), nil
+}
+
+func (t *Router) take(ctx context.Context, c Call) (*flight, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.sched.classes[c.Class] == nil:
+		return nil, fmt.Errorf("%w: %q", ErrUnknownClass, c.Class)
+	case t.flights[c.ID] != nil:
+		return nil, fmt.Errorf("%w: %q", ErrDuplicate, c.ID)
+	}
+	f := &flight{ctx: ctx, ready: make(chan struct{}, 1)}
+	t.flights[c.ID] = f
+	t.handle(Request{
+		ID: c.ID, Class: c.Class, Tenant: c.Tenant, Session: c.Session, Prefix: c.Prefix,
+		PrefixTokens: c.PrefixTokens, PromptTokens: c.PromptTokens, MaxOut: c.MaxOut,
+		TimeLeft: duration(c.Remaining), Retry: c.Retry,
+	})
+	return f, nil
+}
+
+// Report tells how an attempt ended and waits for the request's next step.
+func (t *Router) Report(id RequestID, attempt int, res Result) Step {
+	f := t.ended(id, attempt, res)
+	if f == nil {
+		return Step{Kind: StepOver}
+	}
+	return t.wait(id, f)
+}
+
+func (t *Router) ended(id RequestID, attempt int, res Result) *flight {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := t.flights[id]
+	if f == nil || attempt >= len(f.sent) {
+		return nil
+	}
+	t.leave(id, f) // the module hears that the client has left before it plans on
+	f.out--
+	f.cancel[attempt]()
+	f.over = f.over || res.Status == Served
+	t.handle(Outcome{
+		ID: id, Attempt: attempt, Server: t.engine(id, attempt), Status: res.Status, Done: f.over, Note: res.Note,
+		Latency: duration(t.clock.Now() - f.sent[attempt]), Report: res.Report,
+	})
+	return f
+}
+
+// Next waits for the step that follows a StepRelease.
+func (t *Router) Next(id RequestID) Step {
+	f := t.flight(id)
+	if f == nil {
+		return Step{Kind: StepOver}
+	}
+	return t.wait(id, f)
+}
+
+func (t *Router) flight(id RequestID) *flight {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.flights[id]
+}
+
+// Begun tells that an attempt's answer has begun. From then on it belongs to
+// the client; false means that the client has left before.
+func (t *Router) Begun(id RequestID, attempt int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := t.flights[id]
+	if f == nil || attempt >= len(f.sent) {
+		return false
+	}
+	t.leave(id, f)
+	if f.over {
+		return false
+	}
+	f.over = true
+	t.handle(First{
+		ID: id, Attempt: attempt, Server: t.engine(id, attempt), Latency: duration(t.clock.Now() - f.sent[attempt]),
+	})
+	return true
+}
+
+// Place tells whether a place asked for ahead is held, and gives the writer
+// to ask next, if any.
+func (t *Router) Place(id RequestID, attempt int, engine ServerID, held bool) (next Server, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := t.flights[id]
+	if f == nil || f.over || attempt != len(f.sent)-1 || f.out == 0 {
+		return Server{}, false
+	}
+	t.handle(PlaceNote{ID: id, Attempt: attempt, Server: engine, Held: held})
+	next, f.place = f.place, Server{}
+	return next, next.ID != ""
+}
+
+// Probed tells how a probe ended.
+func (t *Router) Probed(engine ServerID, status Status, report Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.handle(Probed{Server: engine, Status: status, Report: report})
+}
+
+// Tick runs the timers that are due and tells in how many milliseconds the
+// next one is, +Inf without any.
+func (t *Router) Tick() (next float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for len(t.timers) > 0 {
+		now := t.now()
+		if left := t.timers[0].At - now; left > 0 {
+			return float64(left) / float64(time.Millisecond)
+		}
+		t.handle(Timer{heap.Pop(&t.timers).(SetTimer).Token})
+	}
+	return math.Inf(1)
+}
+
+// Wake gets a value when a Tick is wanted earlier than the last one told.
+func (t *Router) Wake() <-chan struct{} { return t.wake }
+
+// wait gives a flight's next step once there is one.
+func (t *Router) wait(id RequestID, f *flight) Step {
+	for {
+		if step := t.step(id, f); step.Kind != 0 {
+			return step
+		}
+		select {
+		case <-f.ready:
+		case <-f.ctx.Done():
+		}
+	}
+}
+
+// step gives a flight's next step, without a kind as long as there is none.
+func (t *Router) step(id RequestID, f *flight) Step {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leave(id, f)
+	step := f.step
+	switch {
+	case step.Kind != 0:
+	case f.over:
+		step.Kind = StepOver
+	case f.release:
+		step.Kind = StepRelease
+	default:
+		return step
+	}
+	step.Release = f.release
+	f.step, f.release = Step{}, false
+	if f.over && f.out == 0 {
+		delete(t.flights, id)
+	}
+	return step
+}
+
+// leave tells the module that a request's client has left. A step not yet
+// taken up is dropped, its attempt reported as never sent.
+func (t *Router) leave(id RequestID, f *flight) {
+	if f.over || f.ctx.Err() == nil {
+		return
+	}
+	f.over = true
+	t.handle(Gone{id})
+	if f.step.Kind == StepSend {
+		f.out--
+		f.cancel[f.step.Attempt]()
+		t.handle(Outcome{ID: id, Attempt: f.step.Attempt, Server: f.step.Engine.ID, Status: NotSent, Done: true})
+	}
+	f.step = Step{}
+}
+
+func (t *Router) engine(id RequestID, attempt int) ServerID {
+	if r := t.sched.reqs[id]; r != nil && attempt < len(r.attempts) {
+		return r.attempts[attempt].srv.ID
+	}
+	return ""
+}
+
+func (t *Router) now() time.Duration { return duration(t.clock.Now()) }
+
+func duration(ms float64) time.Duration {
+	return time.Duration(math.Round(ms*1000)) * time.Microsecond
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// handle puts an event to the module and turns its actions into steps.
+func (t *Router) handle(e Event) {
+	for _, a := range t.sched.Handle(t.now(), e, nil) {
+		switch a := a.(type) {
+		case Attempt:
+			t.send(a)
+		case Ahead:
+			if f := t.flights[a.ID]; f != nil {
+				place := t.sched.servers[a.Server].Server
+				if f.step.Kind == StepSend {
+					f.step.Place = place
+				} else {
+					f.place = place
+				}
+			}
+		case Release:
+			if f := t.flights[a.ID]; f != nil {
+				f.release = true
+				f.signal()
+			}
+		case Cancel:
+			if f := t.flights[a.ID]; f != nil {
+				f.cancel[a.Attempt]()
+			}
+		case Refuse:
+			t.final(a.ID, Step{Kind: StepRefuse, RetryAfter: millis(a.RetryAfter)})
+		case Fail:
+			t.final(a.ID, Step{Kind: StepFail})
+		case SetTimer:
+			heap.Push(&t.timers, a)
+			if t.timers[0] == a {
+				select {
+				case t.wake <- struct{}{}:
+				default:
+				}
+			}
+		case Probe:
+			t.probe(t.sched.servers[a.Server].Server)
+		}
+	}
+}
+
+func (t *Router) send(a Attempt) {
+	f := t.flights[a.ID]
+	ctx, cancel := context.WithCancel(f.ctx)
+	v := t.sched.servers[a.Server]
+	f.step = Step{
+		Kind: StepSend, Attempt: len(f.sent), Engine: v.Server, Reads: v.role == RoleRead,
+		Timeout: millis(a.Timeout), Context: ctx,
+	}
+	f.sent, f.cancel, f.out = append(f.sent, t.clock.Now()), append(f.cancel, cancel), f.out+1
+	f.signal()
+}
+
+func (t *Router) final(id RequestID, step Step) {
+	if f := t.flights[id]; f != nil {
+		f.step, f.over = step, true
+		f.signal()
+	}
+}
+
+func (f *flight) signal() {
+	select {
+	case f.ready <- struct{}{}:
+	default:
+	}
+}
+
+// timerHeap orders timers by the time that they fall due.
+type timerHeap []SetTimer
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	return h[i].At < h[j].At || h[i].At == h[j].At && h[i].Token < h[j].Token
+}
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push is for container/heap.
+func (h *timerHeap) Push(x any) { *h = append(*h, x.(SetTimer)) }
+
+// Pop is for container/heap.
+func (h *timerHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,392 @@
+// Package gateway takes a request through its life: pick an engine, attempt,
+// ask for a place ahead, report, let go, and give one final answer. It knows
+// no wire: fronts call Serve, transports carry its attempts to engines.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math"
+	"runtime/debug"
+	"sync"
+
+	"ashwood.example/ashwood"
+	"ashwood.example/ashwood/internal/clock"
+)
+
+// ErrClientGone ends a stream whose client has left.
+var ErrClientGone = errors.New("gateway: the client has left")
+
+// Request is a client's try in the form that its front and the transport share.
+type Request struct {
+	ashwood.Call
+	Method string
+	Target string // path and query
+	Header [][2]string
+	Body   []byte // as it came
+}
+
+// Kind tells how a request ended, as far as Serve knows.
+type Kind int
+
+// The kinds of replies.
+const (
+	Served  Kind = iota + 1 // Stream brings the answer
+	Refused                 // trying again does no harm
+	Failed                  // it may have run
+	Gone                    // the client has left: no answer is owed
+)
+
+// Reply is the one final answer to a request.
+type Reply struct {
+	Kind       Kind
+	Stream     Stream
+	RetryAfter float64 // ms, with Refused; 0 = no advice
+	Err        error   // of the last attempt, where an engine gave one
+}
+
+// Stream is an answer on its way. It is used by one goroutine.
+type Stream interface {
+	// Next gives the next piece as it came, valid until the next call. After
+	// a whole answer the error is io.EOF; with any other the answer is broken.
+	Next() ([]byte, error)
+	// Report is the engine's load as told at the stream's end, if it was.
+	Report() ashwood.Report
+	// Close gives up what is left. It may be called at any time, and again.
+	Close() error
+}
+
+// Attempt is one sending of a request to an engine.
+type Attempt struct {
+	*Request
+	Engine    ashwood.Server
+	Reads     bool        // a reader, which answers with a read state
+	Remaining float64     // ms that the gateway will wait for the first token
+	Ready     func() bool // asked right before the first byte is written; false forbids it
+	Sent      func()      // called right after the last byte has been
+}
+
+// Answer is what came of an attempt. With Served, Stream has its first piece.
+type Answer struct {
+	ashwood.Result
+	Stream Stream
+	Err    error // what the engine or the network said, for the front and the log
+}
+
+// Transport speaks to engines. A transport never sends anything twice by
+// itself. Its statuses are NotSent and NoConnection (the last byte has not
+// left), TurnedAway, Parsed, Served, ServerError and ConnectionLost.
+type Transport interface {
+	// Send carries an attempt out until its first piece or its end. When ctx
+	// ends, it gives the attempt up at once; ctx goes on to bound the stream.
+	Send(ctx context.Context, a Attempt) Answer
+	// Reserve asks a writer to hold a place for a request that is being read.
+	// Ready is asked right before the first byte is written.
+	Reserve(ctx context.Context, engine ashwood.Server, id ashwood.RequestID, ready func() bool) Place
+	// Release lets go of all that is held for a request; nil once the call
+	// has reached the engine.
+	Release(ctx context.Context, engine ashwood.Server, id ashwood.RequestID) error
+	// Probe asks an engine for its load.
+	Probe(ctx context.Context, engine ashwood.Server) (ashwood.Status, ashwood.Report)
+}
+
+// Place tells what came of asking for a place.
+type Place int
+
+// What may come of asking for a place.
+const (
+	PlaceHeld    Place = iota + 1
+	PlaceRefused       // surely not held
+	PlaceUnknown       // no clear answer: it may be held
+	PlaceUnasked       // the call has not left: surely not held
+)
+
+// Times of the calls around an attempt, in milliseconds.
+const (
+	reserveWait  = 400  // for the answer to a place asked ahead
+	releaseWait  = 100  // for a release that the next send waits for
+	releaseRetry = 50   // between tries of one at the end
+	releaseTotal = 2000 // of such tries
+	probeWait    = 250
+)
+
+var errTimedOut = errors.New("gateway: no answer in time")
+
+// Gateway routes requests.
+type Gateway struct {
+	router    *ashwood.Router
+	transport Transport
+	clock     clock.Clock
+	log       *slog.Logger
+}
+
+// New makes a gateway. Run must be running for it to serve.
+func New(set ashwood.Settings, seed int64, transport Transport, c clock.Clock, log *slog.Logger) (*Gateway, error) {
+	g := &Gateway{transport: transport, clock: c, log: log}
+	var err error
+	g.router, err = ashwood.NewRouter(set, seed, c, func(v ashwood.Server) { g.spawn(func() { g.probe(v) }) })
+	return g, err
+}
+
+// Run runs the router's timers until ctx ends.
+func (g *Gateway) Run(ctx context.Context) {
+	due := make(chan struct{}, 1)
+	for {
+		stop := func() bool { return true }
+		if next := g.router.Tick(); !math.IsInf(next, 1) {
+			stop = g.clock.AfterFunc(next, func() {
+				select {
+				case due <- struct{}{}:
+				default:
+				}
+			})
+		}
+		select {
+		case <-ctx.Done():
+			stop()
+			return
+		case <-due:
+		case <-g.router.Wake():
+		}
+		stop()
+	}
+}
+
+// Update tells the gateway of news of the list of engines.
+func (g *Gateway) Update(form ashwood.ListForm, list []ashwood.Server) { g.router.Update(form, list) }
+
+// Serve takes a request to its final answer, or to the beginning of one. When
+// ctx ends, the client has left; ctx bounds a served stream too, which the
+// caller must close. An error means that the request was not taken.
+func (g *Gateway) Serve(ctx context.Context, req *Request) (Reply, error) {
+	step, err := g.router.Pick(ctx, req.Call)
+	if err != nil {
+		return Reply{}, err
+	}
+	h := holds{g: g, id: req.ID, engines: map[ashwood.ServerID]ashwood.Server{}}
+	var last error
+	for {
+		final := step.Kind != ashwood.StepSend && step.Kind != ashwood.StepRelease
+		if step.Release {
+			h.release(final)
+		}
+		switch step.Kind {
+		case ashwood.StepSend:
+			ans, next := g.attempt(ctx, req, step, &h)
+			if ans.Err != nil {
+				last = ans.Err
+				g.log.Debug("attempt", "id", req.ID, "class", req.Class, "engine", step.Engine.ID,
+					"attempt", step.Attempt, "status", ans.Status, "err", ans.Err)
+			}
+			if ans.Stream != nil {
+				return Reply{Kind: Served, Stream: ans.Stream}, nil
+			}
+			step = next
+		case ashwood.StepRelease:
+			step = g.router.Next(req.ID)
+		case ashwood.StepRefuse:
+			return Reply{Kind: Refused, RetryAfter: step.RetryAfter, Err: last}, nil
+		case ashwood.StepFail:
+			return Reply{Kind: Failed, Err: last}, nil
+		default:
+			return Reply{Kind: Gone, Err: ErrClientGone}, nil
+		}
+	}
+}
+
+// attempt sends a request once. It gives either a begun answer's stream or,
+// after it has reported how the attempt ended, the next step.
+func (g *Gateway) attempt(ctx context.Context, req *Request, step ashwood.Step, h *holds) (Answer, ashwood.Step) {
+	actx, cancel := context.WithCancelCause(step.Context)
+	stop := g.clock.AfterFunc(step.Timeout, func() { cancel(errTimedOut) })
+	ans := g.transport.Send(actx, Attempt{
+		Request: req, Engine: step.Engine, Reads: step.Reads, Remaining: step.Timeout,
+		Ready: func() bool { return actx.Err() == nil && g.router.Accepts(step.Engine.ID) },
+		Sent: func() {
+			h.add(step.Engine)
+			if step.Place.ID != "" {
+				h.asking.Add(1)
+				g.spawn(func() { h.reserve(actx, step) })
+			}
+		},
+	})
+	inTime := stop() && actx.Err() == nil
+	if ans.Status == ashwood.Served {
+		if inTime && g.router.Begun(req.ID, step.Attempt) {
+			ans.Stream = &stream{Stream: ans.Stream, g: g, ctx: ctx, id: req.ID, attempt: step.Attempt, cancel: cancel}
+			return ans, ashwood.Step{}
+		}
+		ans.Stream.Close()
+		ans.Stream, ans.Status = nil, ashwood.ConnectionLost
+	}
+	// An attempt that was given up may have run, unless its last byte never left.
+	if ans.Status == ashwood.ConnectionLost && !inTime {
+		ans.Status = ashwood.CalledOff
+		if errors.Is(context.Cause(actx), errTimedOut) {
+			ans.Status = ashwood.NoAnswer
+		}
+	}
+	cancel(nil)
+	return ans, g.router.Report(req.ID, step.Attempt, ans.Result)
+}
+
+// spawn keeps a panic beside a request from ending the process.
+func (g *Gateway) spawn(f func()) {
+	go func() {
+		defer func() {
+			if p := recover(); p != nil {
+				g.log.Error("panic", "value", p, "stack", string(debug.Stack()))
+			}
+		}()
+		f()
+	}()
+}
+
+func (g *Gateway) probe(v ashwood.Server) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	defer g.clock.AfterFunc(probeWait, cancel)()
+	status, report := g.transport.Probe(ctx, v)
+	g.router.Probed(v.ID, status, report)
+}
+
+// stream reports the end of a served answer to the router, once.
+type stream struct {
+	Stream
+	g       *Gateway
+	ctx     context.Context // of the client
+	id      ashwood.RequestID
+	attempt int
+	cancel  context.CancelCauseFunc
+	ended   bool
+}
+
+// Next passes a piece on.
+func (s *stream) Next() ([]byte, error) {
+	piece, err := s.Stream.Next()
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
+		s.end(ashwood.Served)
+	case s.ctx.Err() != nil:
+		s.end(ashwood.CalledOff)
+		err = ErrClientGone
+	default:
+		s.g.log.Debug("stream broke", "id", s.id, "err", err)
+		s.end(ashwood.ConnectionLost)
+	}
+	return piece, err
+}
+
+// Close ends the engine's stream if it has not ended.
+func (s *stream) Close() error {
+	s.end(ashwood.CalledOff)
+	s.cancel(nil)
+	return s.Stream.Close()
+}
+
+func (s *stream) end(status ashwood.Status) {
+	if s.ended {
+		return
+	}
+	s.ended = true
+	s.g.router.Report(s.id, s.attempt, ashwood.Result{Status: status, Report: s.Stream.Report()})
+}
+
+// holds are the engines that may hold a state or a place for a request.
+type holds struct {
+	g  *Gateway
+	id ashwood.RequestID
+
+	mu      sync.Mutex
+	engines map[ashwood.ServerID]ashwood.Server
+	asking  sync.WaitGroup // places asked for and not answered
+}
+
+func (h *holds) add(v ashwood.Server) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.engines[v.ID] = v
+}
+
+// take empties the set, for its engines to be told.
+func (h *holds) take() map[ashwood.ServerID]ashwood.Server {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	engines := h.engines
+	h.engines = map[ashwood.ServerID]ashwood.Server{}
+	return engines
+}
+
+// reserve asks for places ahead while a read is out.
+func (h *holds) reserve(reading context.Context, step ashwood.Step) {
+	defer h.asking.Done()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	defer h.g.clock.AfterFunc(reserveWait, cancel)()
+	for v, ok := step.Place, true; ok; {
+		ready := func() bool { return reading.Err() == nil && h.g.router.Accepts(v.ID) }
+		place := h.g.transport.Reserve(ctx, v, h.id, ready)
+		if place == PlaceHeld || place == PlaceUnknown {
+			h.add(v)
+		}
+		if place == PlaceUnknown || place == PlaceUnasked {
+			return
+		}
+		v, ok = h.g.router.Place(h.id, step.Attempt, v.ID, place == PlaceHeld)
+	}
+}
+
+// release lets go wherever something may be held. A place still being asked
+// for is let go of once that call has ended, or the release might overtake it.
+// While the request goes on, its next send waits, for the same reason.
+func (h *holds) release(final bool) {
+	engines := h.take()
+	ctx, cancel := context.WithCancel(context.Background())
+	wait := float64(releaseWait)
+	if final {
+		wait = releaseTotal
+	}
+	stop := h.g.clock.AfterFunc(wait, cancel)
+	var all sync.WaitGroup
+	for _, v := range engines {
+		all.Go(func() { h.g.release(ctx, v, h.id) })
+	}
+	finish := func() {
+		all.Wait()
+		stop()
+		cancel()
+	}
+	if !final {
+		finish()
+		return
+	}
+	h.g.spawn(func() {
+		h.asking.Wait()
+		for _, v := range h.take() {
+			all.Go(func() { h.g.release(ctx, v, h.id) })
+		}
+		finish()
+	})
+}
+
+// release tries until a call has reached the engine or ctx ends.
+func (g *Gateway) release(ctx context.Context, v ashwood.Server, id ashwood.RequestID) {
+	for {
+		err := g.transport.Release(ctx, v, id)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		g.log.Debug("release", "id", id, "engine", v.ID, "err", err)
+		again := make(chan struct{})
+		stop := g.clock.AfterFunc(releaseRetry, func() { close(again) })
+		select {
+		case <-again:
+		case <-ctx.Done():
+			stop()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/engines.go
@@ -0,0 +1,387 @@
+// Package platform speaks the platform's protocol, HTTP/1.1: a server for
+// clients, a transport to engines, and discovery.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"ashwood.example/ashwood"
+	"ashwood.example/ashwood/gateway"
+	"ashwood.example/ashwood/internal/clock"
+)
+
+// Header names of the protocol.
+const (
+	headerID       = "X-Txn"
+	headerClass    = "X-Lane"
+	headerSession  = "X-Entity"
+	headerLeft     = "X-Remaining"
+	headerLabels   = "X-Labels"
+	headerResent   = "X-Resent"
+	headerReport   = "X-Pressure"
+	headerNotRun   = "X-Turned-Away"
+	roomsPath      = "/bootstrap/rooms/"
+	loadPath       = "/-/load"
+	reportComment  = ": " + headerReport + ": "
+	maxAnswerBody  = 64 << 10
+	sweepEvery     = 1000.0
+	defaultConnect = 250.0
+	defaultIdle    = 15000.0
+)
+
+// Engines is the transport to the platform's engines.
+type Engines struct {
+	pool *pool
+}
+
+// NewEngines makes a transport that holds at most limit connections.
+func NewEngines(set ashwood.Settings, c clock.Clock, limit int) *Engines {
+	connect, idle := clock.Millis(set.Limits.ConnectTimeout), clock.Millis(set.Limits.ConnIdle)
+	if connect <= 0 {
+		connect = defaultConnect
+	}
+	if idle <= 0 {
+		idle = defaultIdle
+	}
+	e := &Engines{pool: newPool(c, connect, idle/2, limit)}
+	var sweep func()
+	sweep = func() {
+		e.pool.sweep()
+		c.AfterFunc(sweepEvery, sweep)
+	}
+	c.AfterFunc(sweepEvery, sweep)
+	return e
+}
+
+// exchange writes one request and reads the head of its answer. The caller
+// owns the connection unless there is an error; wrote tells whether the last
+// byte left. Only before that does an error prove that the engine never ran it.
+func (e *Engines) exchange(ctx context.Context, addr string, head *fasthttp.RequestHeader, body []byte,
+	ready func() bool, sent func(), answer *fasthttp.ResponseHeader) (c *conn, wrote bool, err error) {
+	c, err = e.pool.get(ctx, addr)
+	if err != nil {
+		return nil, false, err
+	}
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer func() {
+		if !stop() && err == nil {
+			err = context.Cause(ctx)
+		}
+		if err != nil {
+			e.pool.discard(c)
+			c = nil
+		}
+	}()
+	if !ready() {
+		return c, false, errNotReady
+	}
+	out := net.Buffers{head.AppendBytes(nil)}
+	if len(body) > 0 {
+		out = append(out, body)
+	}
+	if _, err = out.WriteTo(c.Conn); err != nil {
+		return c, false, err
+	}
+	sent()
+	return c, true, answer.Read(c.br)
+}
+
+var errNotReady = errors.New("platform: not to be sent any more")
+
+func header(method, target, addr string) *fasthttp.RequestHeader {
+	h := &fasthttp.RequestHeader{}
+	h.DisableNormalizing()
+	h.SetNoDefaultContentType(true)
+	h.SetMethod(method)
+	h.SetRequestURI(target)
+	h.SetHost(addr)
+	return h
+}
+
+// Send carries out an attempt.
+func (e *Engines) Send(ctx context.Context, a gateway.Attempt) gateway.Answer {
+	h := header(a.Method, a.Target, a.Engine.Address)
+	for _, f := range a.Header {
+		h.Set(f[0], f[1])
+	}
+	h.Set(headerID, string(a.ID))
+	h.Set(headerLeft, strconv.FormatFloat(a.Remaining/1000, 'f', 3, 64))
+	h.SetContentLength(len(a.Body))
+	var head fasthttp.ResponseHeader
+	c, wrote, err := e.exchange(ctx, a.Engine.Address, h, a.Body, a.Ready, a.Sent, &head)
+	if err != nil {
+		return failed(ctx, wrote, err)
+	}
+	res := ashwood.Result{Report: parseReport(string(head.Peek(headerReport)))}
+	code := head.StatusCode()
+	if code == fasthttp.StatusOK {
+		s := newStream(ctx, e.pool, c, &head)
+		if err := s.first(); err != nil {
+			s.Close()
+			return failed(ctx, true, err)
+		}
+		res.Status = ashwood.Served
+		return gateway.Answer{Result: res, Stream: s}
+	}
+	body, err := e.drain(ctx, c, &head)
+	away := len(head.Peek(headerNotRun)) > 0
+	switch {
+	case code == fasthttp.StatusAccepted && a.Reads:
+		var kept struct {
+			Tokens float64 `json:"cached_tokens"`
+		}
+		if err == nil {
+			err = json.Unmarshal(body, &kept)
+		}
+		res.Status, res.Note = ashwood.Parsed, kept.Tokens
+		return gateway.Answer{Result: res, Err: err}
+	case away && (code == fasthttp.StatusServiceUnavailable || code == fasthttp.StatusGatewayTimeout):
+		res.Status = ashwood.TurnedAway
+	case away && code == fasthttp.StatusGone:
+		res.Status, res.Note = ashwood.TurnedAway, 1
+	default:
+		res.Status = ashwood.ServerError
+	}
+	return gateway.Answer{Result: res, Err: fmt.Errorf("platform: %s answered %d", a.Engine.ID, code)}
+}
+
+// failed tells what an attempt without an answer proves.
+func failed(ctx context.Context, wrote bool, err error) gateway.Answer {
+	st := ashwood.ConnectionLost
+	switch {
+	case wrote:
+	case ctx.Err() != nil, errors.Is(err, errNotReady), errors.Is(err, errTooMany):
+		st = ashwood.NotSent
+	default:
+		st = ashwood.NoConnection
+	}
+	return gateway.Answer{Result: ashwood.Result{Status: st}, Err: err}
+}
+
+// drain reads a short answer's body and gives the connection back.
+func (e *Engines) drain(ctx context.Context, c *conn, head *fasthttp.ResponseHeader) (body []byte, err error) {
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer func() {
+		if stop() && err == nil && !head.ConnectionClose() {
+			e.pool.put(c)
+		} else {
+			e.pool.discard(c)
+		}
+	}()
+	switch n := head.ContentLength(); {
+	case head.StatusCode() == fasthttp.StatusNoContent:
+		return nil, nil
+	case n >= 0 && n <= maxAnswerBody:
+		body = make([]byte, n)
+		_, err = io.ReadFull(c.br, body)
+		return body, err
+	case n == -1:
+		if body, err = io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.br), maxAnswerBody)); err == nil {
+			err = skipTrailer(c)
+		}
+		return body, err
+	}
+	return nil, errors.New("platform: an answer without a usable length")
+}
+
+// skipTrailer reads the empty line behind the last chunk.
+func skipTrailer(c *conn) error {
+	for {
+		line, err := c.br.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return nil
+		}
+	}
+}
+
+func never() {}
+
+func always() bool { return true }
+
+// Reserve asks a writer to hold a place.
+func (e *Engines) Reserve(ctx context.Context, engine ashwood.Server, id ashwood.RequestID, ready func() bool) gateway.Place {
+	var head fasthttp.ResponseHeader
+	h := header(fasthttp.MethodPost, roomsPath+string(id), engine.Address)
+	h.SetContentLength(0)
+	c, wrote, err := e.exchange(ctx, engine.Address, h, nil, ready, never, &head)
+	if err == nil {
+		_, err = e.drain(ctx, c, &head)
+	}
+	switch code := head.StatusCode(); {
+	case !wrote:
+		return gateway.PlaceUnasked
+	case err != nil:
+		return gateway.PlaceUnknown
+	case code == fasthttp.StatusOK:
+		return gateway.PlaceHeld
+	case code == fasthttp.StatusConflict:
+		return gateway.PlaceRefused
+	}
+	return gateway.PlaceUnknown
+}
+
+// Release lets go of what an engine holds for a request. The call counts once
+// its last byte is there, answered or not.
+func (e *Engines) Release(ctx context.Context, engine ashwood.Server, id ashwood.RequestID) error {
+	var head fasthttp.ResponseHeader
+	h := header(fasthttp.MethodDelete, roomsPath+string(id), engine.Address)
+	c, wrote, err := e.exchange(ctx, engine.Address, h, nil, always, never, &head)
+	if err == nil {
+		e.drain(ctx, c, &head)
+	}
+	if wrote {
+		return nil
+	}
+	return err
+}
+
+// Probe asks an engine for its load.
+func (e *Engines) Probe(ctx context.Context, engine ashwood.Server) (ashwood.Status, ashwood.Report) {
+	var head fasthttp.ResponseHeader
+	h := header(fasthttp.MethodGet, loadPath, engine.Address)
+	c, wrote, err := e.exchange(ctx, engine.Address, h, nil, always, never, &head)
+	var body []byte
+	if err == nil {
+		body, err = e.drain(ctx, c, &head)
+	}
+	if err != nil {
+		return failed(ctx, wrote, err).Status, nil
+	}
+	report := parseReport(string(head.Peek(headerReport)))
+	if report == nil {
+		report = parseReport(string(body))
+	}
+	if head.StatusCode() != fasthttp.StatusOK {
+		return ashwood.ServerError, report
+	}
+	return ashwood.Served, report
+}
+
+// reportFields are the names of the values that decisions use.
+var reportFields = map[string]string{
+	"inflight": ashwood.ReportInFlight, "busy_reqs": ashwood.ReportInFlight,
+	"queue": ashwood.ReportQueue, "pending": ashwood.ReportQueue, "x0": ashwood.ReportMemory,
+}
+
+// parseReport reads name=value pairs; what it does not know it skips.
+func parseReport(text string) (r ashwood.Report) {
+	for _, pair := range strings.Split(strings.TrimSpace(text), ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		known, ok := reportFields[strings.TrimSpace(name)]
+		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if !ok || err != nil {
+			continue
+		}
+		if r == nil {
+			r = ashwood.Report{}
+		}
+		r[known] = v
+	}
+	return r
+}
+
+// stream is an engine's answer. Its bytes go on as they came; only the load
+// report in the comment at its end is read.
+type stream struct {
+	pool  *pool
+	c     *conn
+	body  io.Reader
+	stop  func() bool
+	buf   [4096]byte
+	begun []byte // the first piece, read but not passed on
+	tail  []byte // the last bytes seen, for the report
+	keep  bool
+	done  bool
+	chunk bool
+}
+
+const tailBytes = 512
+
+func newStream(ctx context.Context, p *pool, c *conn, head *fasthttp.ResponseHeader) *stream {
+	s := &stream{pool: p, c: c, keep: !head.ConnectionClose()}
+	s.stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	switch n := head.ContentLength(); {
+	case n == -1:
+		s.body, s.chunk = httputil.NewChunkedReader(c.br), true
+	case n >= 0:
+		s.body = io.LimitReader(c.br, int64(n))
+	default:
+		s.body, s.keep = c.br, false
+	}
+	return s
+}
+
+func (s *stream) first() error {
+	piece, err := s.Next()
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF // an answer without an event is none
+	}
+	s.begun = piece
+	return err
+}
+
+// Next gives the next bytes of the answer.
+func (s *stream) Next() ([]byte, error) {
+	if piece := s.begun; piece != nil {
+		s.begun = nil
+		return piece, nil
+	}
+	if s.done {
+		return nil, io.EOF
+	}
+	n, err := s.body.Read(s.buf[:])
+	if n > 0 {
+		piece := s.buf[:n]
+		s.tail = append(s.tail, piece...)
+		if extra := len(s.tail) - tailBytes; extra > 0 {
+			s.tail = append(s.tail[:0], s.tail[extra:]...)
+		}
+		return piece, nil // an error comes again with the next call
+	}
+	if err == io.EOF {
+		s.done = true
+		if s.chunk {
+			s.keep = s.keep && skipTrailer(s.c) == nil
+		}
+	}
+	return nil, err
+}
+
+// Report is the load told at the stream's end.
+func (s *stream) Report() ashwood.Report {
+	_, line, ok := strings.Cut(string(s.tail), reportComment)
+	if !ok {
+		return nil
+	}
+	line, _, _ = strings.Cut(line, "\n")
+	return parseReport(line)
+}
+
+// Close gives the connection back, or closes it to end the engine's work.
+func (s *stream) Close() error {
+	if s.c == nil {
+		return nil
+	}
+	if s.stop() && s.done && s.keep {
+		s.pool.put(s.c)
+	} else {
+		s.pool.discard(s.c)
+	}
+	s.c = nil
+	return nil
+}
--- /dev/null
+++ b/internal/platform/pool.go
@@ -0,0 +1,162 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"ashwood.example/ashwood/internal/clock"
+)
+
+// errTooMany says that the gateway's share of sockets is used up.
+var errTooMany = errors.New("platform: too many connections to engines")
+
+// conn carries one request at a time.
+type conn struct {
+	net.Conn
+	br   *bufio.Reader
+	addr string
+	idle float64 // since when
+}
+
+// pool keeps connections to engines. It never sends anything: whoever takes a
+// connection knows when the last byte of a request has left, and nothing is
+// sent again behind its back.
+type pool struct {
+	clock   clock.Clock
+	connect float64 // ms to wait for a connection
+	maxIdle float64 // ms after which an idle connection is closed, well before the engine does
+	max     int     // connections open at once
+
+	mu   sync.Mutex
+	idle map[string][]*conn // by address, the latest used last
+	open int
+}
+
+func newPool(c clock.Clock, connect, maxIdle float64, limit int) *pool {
+	return &pool{clock: c, connect: connect, maxIdle: maxIdle, max: limit, idle: map[string][]*conn{}}
+}
+
+// get gives an idle connection that the engine has not closed, or a new one.
+func (p *pool) get(ctx context.Context, addr string) (*conn, error) {
+	for {
+		c, err := p.reuse(addr)
+		if err != nil {
+			return nil, err
+		}
+		if c == nil {
+			return p.dial(ctx, addr)
+		}
+		if c.alive() {
+			return c, nil
+		}
+		p.discard(c)
+	}
+}
+
+// reuse takes an idle connection, or counts a new one, which it leaves to dial.
+func (p *pool) reuse(addr string) (*conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if list := p.idle[addr]; len(list) > 0 {
+		c := list[len(list)-1]
+		p.idle[addr] = list[:len(list)-1]
+		return c, nil
+	}
+	if p.open >= p.max && !p.dropOldest() {
+		return nil, errTooMany
+	}
+	p.open++
+	return nil, nil
+}
+
+func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
+	d := net.Dialer{Timeout: clock.Duration(p.connect), KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.open--
+		return nil, err
+	}
+	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, 4096), addr: addr}, nil
+}
+
+// put keeps a connection for another request.
+func (p *pool) put(c *conn) {
+	if c.br.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+		p.discard(c)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.idle = p.clock.Now()
+	p.idle[c.addr] = append(p.idle[c.addr], c)
+}
+
+// discard closes a connection.
+func (p *pool) discard(c *conn) {
+	c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
+// dropOldest makes room for a new connection.
+func (p *pool) dropOldest() bool {
+	oldest := ""
+	for addr, list := range p.idle {
+		if len(list) > 0 && (oldest == "" || list[0].idle < p.idle[oldest][0].idle) {
+			oldest = addr
+		}
+	}
+	if oldest == "" {
+		return false
+	}
+	p.idle[oldest][0].Close()
+	p.idle[oldest] = p.idle[oldest][1:]
+	p.open--
+	return true
+}
+
+// sweep closes what has been idle too long.
+func (p *pool) sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	for addr, list := range p.idle {
+		for len(list) > 0 && now-list[0].idle > p.maxIdle {
+			list[0].Close()
+			list = list[1:]
+			p.open--
+		}
+		if p.idle[addr] = list; len(list) == 0 {
+			delete(p.idle, addr)
+		}
+	}
+}
+
+// alive tells whether the engine has left an idle connection open. A request
+// written to a closed one would end as a reset, which proves nothing.
+func (c *conn) alive() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = e == syscall.EAGAIN || e == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && open
+}
--- /dev/null
+++ b/internal/platform/server.go
@@ -0,0 +1,237 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"ashwood.example/ashwood"
+	"ashwood.example/ashwood/gateway"
+)
+
+const (
+	maxBody     = 256 << 10
+	readTimeout = 30 * time.Second
+	idleTimeout = 120 * time.Second
+	readyPath   = "/-/ready"
+)
+
+// Server takes clients' requests.
+type Server struct {
+	gw       *gateway.Gateway
+	log      *slog.Logger
+	http     *fasthttp.Server
+	draining atomic.Bool
+}
+
+// NewServer makes a server for at most limit connections at once.
+func NewServer(gw *gateway.Gateway, log *slog.Logger, limit int) *Server {
+	s := &Server{gw: gw, log: log}
+	s.http = &fasthttp.Server{
+		Handler: s.handle, ErrorHandler: s.malformed, Concurrency: limit, MaxRequestBodySize: maxBody,
+		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true,
+		CloseOnShutdown: true, Logger: discard{},
+	}
+	return s
+}
+
+type discard struct{}
+
+func (discard) Printf(string, ...any) {}
+
+// Serve answers on a listener until Shutdown.
+func (s *Server) Serve(l net.Listener) error { return s.http.Serve(listener{l}) }
+
+// Drain has each answer close its connection, so that clients go elsewhere.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Shutdown takes nothing more and waits for what it has taken.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
+
+// malformed answers what could not be read as a request.
+func (s *Server) malformed(ctx *fasthttp.RequestCtx, err error) {
+	code := fasthttp.StatusBadRequest
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		code = fasthttp.StatusRequestEntityTooLarge
+	case errors.As(err, &small):
+		code = fasthttp.StatusRequestHeaderFieldsTooLarge
+	}
+	ctx.Error(err.Error(), code)
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.log.Error("panic", "value", p, "stack", string(debug.Stack()))
+			ctx.Error("internal error", fasthttp.StatusInternalServerError)
+		}
+	}()
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+	if string(ctx.Path()) == readyPath && ctx.IsGet() {
+		ctx.SetStatusCode(fasthttp.StatusOK)
+		return
+	}
+	req, err := parseRequest(&ctx.Request)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	s.serve(ctx, req)
+}
+
+func (s *Server) serve(ctx *fasthttp.RequestCtx, req *gateway.Request) {
+	client, gone := context.WithCancel(context.Background())
+	conn, _ := ctx.Conn().(*clientConn)
+	if conn != nil {
+		conn.watch(gone)
+	}
+	end := func() {
+		gone()
+		if conn != nil {
+			conn.unwatch()
+		}
+	}
+	streams := false
+	defer func() {
+		if !streams {
+			end()
+		}
+	}()
+	reply, err := s.gw.Serve(client, req)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	switch reply.Kind {
+	case gateway.Served:
+		streams = true
+		ctx.SetContentType("text/event-stream")
+		ctx.SetBodyStream(&body{stream: reply.Stream, end: end}, -1)
+	case gateway.Refused:
+		ctx.Error("refused: try again later", fasthttp.StatusServiceUnavailable)
+		if reply.RetryAfter > 0 {
+			ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(reply.RetryAfter/1000, 'f', 3, 64))
+		}
+	case gateway.Failed:
+		text := "failed: it may have run"
+		if reply.Err != nil {
+			text += ": " + reply.Err.Error()
+		}
+		ctx.Error(text, fasthttp.StatusBadGateway)
+	case gateway.Gone:
+		ctx.SetConnectionClose()
+		ctx.SetStatusCode(499)
+	}
+}
+
+// body feeds a stream's pieces to fasthttp, which flushes each. When Read
+// fails, fasthttp closes the connection without the last chunk.
+type body struct {
+	stream gateway.Stream
+	rest   []byte
+	end    func()
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	if len(b.rest) == 0 {
+		piece, err := b.stream.Next()
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				err = fmt.Errorf("platform: broken stream: %w", err)
+			}
+			return 0, err
+		}
+		b.rest = piece
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+// Close is called by fasthttp once the answer has ended or failed.
+func (b *body) Close() error {
+	err := b.stream.Close()
+	b.end()
+	return err
+}
+
+// parseRequest takes out the fields that decisions need.
+func parseRequest(r *fasthttp.Request) (*gateway.Request, error) {
+	h := &r.Header
+	req := &gateway.Request{Method: string(h.Method()), Target: string(h.RequestURI()), Body: r.Body()}
+	if ct := h.ContentType(); len(ct) > 0 {
+		req.Header = append(req.Header, [2]string{fasthttp.HeaderContentType, string(ct)})
+	}
+	req.ID = ashwood.RequestID(h.Peek(headerID))
+	req.Class = string(h.Peek(headerClass))
+	req.Retry = string(h.Peek(headerResent)) == "1"
+	if req.ID == "" || strings.ContainsAny(string(req.ID), "/?# \r\n") {
+		return nil, fmt.Errorf("header %s: %q is no request id", headerID, req.ID)
+	}
+	if req.Class == "" {
+		return nil, fmt.Errorf("header %s is missing", headerClass)
+	}
+	left, err := number(string(h.Peek(headerLeft)))
+	if err != nil {
+		return nil, fmt.Errorf("header %s: %w", headerLeft, err)
+	}
+	req.Remaining = left * 1000
+	req.Session = key(string(h.Peek(headerSession)))
+	for _, label := range strings.Split(string(h.Peek(headerLabels)), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(label), "=")
+		var into *float64
+		switch name {
+		case "prefix":
+			req.Prefix = key(value)
+		case "prompt_len":
+			into = &req.PromptTokens
+		case "prefix_len":
+			into = &req.PrefixTokens
+		case "max_out":
+			into = &req.MaxOut
+		}
+		if into != nil {
+			if *into, err = number(value); err != nil {
+				return nil, fmt.Errorf("header %s: %s: %w", headerLabels, name, err)
+			}
+		}
+	}
+	return req, nil
+}
+
+func number(text string) (float64, error) {
+	v, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || v < 0 || v > 1e9 || math.IsNaN(v) {
+		return 0, fmt.Errorf("%q is no number from 0 to 1e9", text)
+	}
+	return v, nil
+}
+
+// key turns an opaque name into a number; an absent one is 0.
+func key(text string) uint64 {
+	if text == "" {
+		return 0
+	}
+	if v, err := strconv.ParseUint(text, 16, 64); err == nil {
+		return v
+	}
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return h.Sum64()
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -47,6 +47,7 @@
 		RetryAfter    bool `json:"retry_after"`
 		MaxRetryAfter ms   `json:"max_retry_after"`
 		Connect       ms   `json:"connect_timeout"`
+		ConnIdle      ms   `json:"conn_idle"`
 	} `json:"ceilings"`
 	Obligations struct {
 		Multiple float64 `json:"fall_multiple"`
@@ -94,6 +95,17 @@
 	return &Start{Seed: *in.Seed, Settings: set}, nil
 }
 
+// DecodeSettings reads the settings object alone, as a real gateway's
+// configuration holds it.
+func DecodeSettings(raw []byte) (ashwood.Settings, error) {
+	const name = "settings"
+	var in setupLine
+	if err := unmarshal(name, raw, &in); err != nil {
+		return ashwood.Settings{}, err
+	}
+	return in.settings(name)
+}
+
 func at[T any](list []T, i int) (v T) {
 	if i < len(list) {
 		v = list[i]
@@ -119,6 +131,7 @@
 			Probes: in.Ceilings.Probes, RetryAfter: in.Ceilings.RetryAfter,
 			MaxRetryAfter:  in.Ceilings.MaxRetryAfter.duration(),
 			ConnectTimeout: in.Ceilings.Connect.duration(),
+			ConnIdle:       in.Ceilings.ConnIdle.duration(),
 		},
 		Rules: ashwood.Rules{
 			FallMultiple: in.Obligations.Multiple, FallWindow: in.Obligations.Fall.duration(),
--- a/types.go
+++ b/types.go
@@ -105,6 +105,7 @@
 	RetryAfter     bool
 	MaxRetryAfter  time.Duration
 	ConnectTimeout time.Duration
+	ConnIdle       time.Duration // after which servers close an idle connection; for transports alone
 }
 
 // Rules are the figures of the five rules.
@@ -156,6 +157,7 @@
 	State   ServerState
 	Weight  float64
 	Started time.Duration // 0 = long ago
+	Address string        // where a transport reaches it; nothing is decided by it
 }
 
 // ListForm tells what a Members event brings.
