Add the gRPC front: token streams, deadlines, refusals, errors, cancels

internal/grpcfront has a server for clients (Inference.Generate) and a transport to boxes (Box.Read, Write, Reserve, Release) over the same gateway and module; messages pass through as the bytes that came. 'Never ran' is a connection that did not come up or a message not handed over whole; a status is a box's own only if it came in a trailer, so that a broken connection is not passed on as UNAVAILABLE, which clients repeat by themselves.

The module now names the longest pause that clients heed. A client that leaves a begun answer also no longer teaches the pace of first tokens.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,18 +6,23 @@
 import (
 	"context"
 	"errors"
+	"hash/fnv"
 	"io"
 	"log/slog"
 	"math"
 	"runtime/debug"
+	"strconv"
 	"sync"
 
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/internal/clock"
 )
 
-// ErrClientGone ends a stream whose client has left.
-var ErrClientGone = errors.New("gateway: the client has left")
+// Errors of replies and streams.
+var (
+	ErrClientGone = errors.New("gateway: the client has left")
+	ErrTimedOut   = errors.New("gateway: no first token in time")
+)
 
 // Request is a client's try in the form that its front and the transport share.
 type Request struct {
@@ -28,6 +33,20 @@
 	Body   []byte // as it came
 }
 
+// Key turns the opaque name of a session or a prefix into the number that
+// decisions take: hexadecimal digits as they read, else a hash. None gives 0.
+func Key(name string) uint64 {
+	if name == "" {
+		return 0
+	}
+	if v, err := strconv.ParseUint(name, 16, 64); err == nil {
+		return v
+	}
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
+
 // Kind tells how a request ended, as far as Serve knows.
 type Kind int
 
@@ -112,8 +131,6 @@
 	probeWait    = 250
 )
 
-var errTimedOut = errors.New("gateway: no answer in time")
-
 // Gateway routes requests.
 type Gateway struct {
 	router    *ashwood.Router
@@ -200,7 +217,7 @@
 // after it has reported how the attempt ended, the next step.
 func (g *Gateway) attempt(ctx context.Context, req *Request, step ashwood.Step, h *holds) (Answer, ashwood.Step) {
 	actx, cancel := context.WithCancelCause(step.Context)
-	stop := g.clock.AfterFunc(step.Timeout, func() { cancel(errTimedOut) })
+	stop := g.clock.AfterFunc(step.Timeout, func() { cancel(ErrTimedOut) })
 	ans := g.transport.Send(actx, Attempt{
 		Request: req, Engine: step.Engine, Reads: step.Reads, Remaining: step.Timeout,
 		Ready: func() bool { return actx.Err() == nil && g.router.Accepts(step.Engine.ID) },
@@ -224,8 +241,8 @@
 	// An attempt that was given up may have run, unless its last byte never left.
 	if ans.Status == ashwood.ConnectionLost && !inTime {
 		ans.Status = ashwood.CalledOff
-		if errors.Is(context.Cause(actx), errTimedOut) {
-			ans.Status = ashwood.NoAnswer
+		if errors.Is(context.Cause(actx), ErrTimedOut) {
+			ans.Status, ans.Err = ashwood.NoAnswer, ErrTimedOut
 		}
 	}
 	cancel(nil)
--- /dev/null
+++ b/internal/grpcfront/boxes.go
@@ -0,0 +1,348 @@
+package grpcfront
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/stats"
+	"google.golang.org/grpc/status"
+
+	"ashwood.example/ashwood"
+	"ashwood.example/ashwood/ashwoodpb"
+	"ashwood.example/ashwood/gateway"
+	"ashwood.example/ashwood/internal/clock"
+	"ashwood.example/ashwood/internal/wire"
+)
+
+// Metadata of the boxes' protocol.
+const (
+	trailerAway   = "ashwood-turned-away"
+	trailerLoad   = "ashwood-load"
+	metaRemaining = "ashwood-remaining-ms"
+)
+
+const (
+	defaultConnect = 250.0
+	pingEvery      = 10 * time.Second // of a connection with calls on it
+	pingWait       = 2 * time.Second
+	idleAfter      = time.Minute
+)
+
+// Boxes is the transport to model boxes: one connection to each carries all
+// its calls.
+type Boxes struct {
+	connect float64
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn // by address
+}
+
+// NewBoxes makes a transport.
+func NewBoxes(set ashwood.Settings) *Boxes {
+	connect := clock.Millis(set.Limits.ConnectTimeout)
+	if connect <= 0 {
+		connect = defaultConnect
+	}
+	return &Boxes{connect: connect, conns: map[string]*grpc.ClientConn{}}
+}
+
+// Keep closes the connections to boxes that a whole list no longer names.
+func (b *Boxes) Keep(list []ashwood.Server) {
+	named := map[string]bool{}
+	for _, v := range list {
+		named[v.Address] = true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for addr, cc := range b.conns {
+		if !named[addr] {
+			cc.Close()
+			delete(b.conns, addr)
+		}
+	}
+}
+
+// Close closes all connections.
+func (b *Boxes) Close() { b.Keep(nil) }
+
+// conn gives a box's connection once it is up. An error proves that nothing
+// was sent.
+func (b *Boxes) conn(ctx context.Context, addr string) (*grpc.ClientConn, error) {
+	cc, err := b.client(addr)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, clock.Duration(b.connect))
+	defer cancel()
+	cc.Connect()
+	cc.ResetConnectBackoff() // a call does not wait for an earlier failure's pause
+	tried := false
+	for {
+		switch state := cc.GetState(); {
+		case state == connectivity.Ready:
+			return cc, nil
+		case state == connectivity.Shutdown, state == connectivity.TransientFailure && tried:
+			return nil, fmt.Errorf("grpcfront: no connection to %s", addr)
+		default:
+			tried = tried || state == connectivity.Connecting
+			if state == connectivity.Idle {
+				cc.Connect()
+			}
+			if !cc.WaitForStateChange(ctx, state) {
+				return nil, fmt.Errorf("grpcfront: no connection to %s: %w", addr, ctx.Err())
+			}
+		}
+	}
+}
+
+func (b *Boxes) client(addr string) (*grpc.ClientConn, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if cc := b.conns[addr]; cc != nil {
+		return cc, nil
+	}
+	// The library may send a call again only where the box has not taken it up;
+	// retries by policy are off.
+	cc, err := grpc.NewClient("passthrough:///"+addr,
+		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(), grpc.WithStatsHandler(trailerWatch{}), grpc.WithIdleTimeout(idleAfter),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingEvery, Timeout: pingWait}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 2 * time.Second},
+			MinConnectTimeout: clock.Duration(b.connect),
+		}),
+		grpc.WithDefaultCallOptions(grpc.ForceCodecV2(newCodec())))
+	if err != nil {
+		return nil, fmt.Errorf("grpcfront: %s: %w", addr, err)
+	}
+	b.conns[addr] = cc
+	return cc, nil
+}
+
+// trailerWatch tells a box's own status from one that the library makes up
+// when a connection breaks: only the former comes in a trailer.
+type trailerWatch struct{}
+
+type trailerKey struct{}
+
+func (trailerWatch) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+func (trailerWatch) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	if seen, ok := ctx.Value(trailerKey{}).(*atomic.Bool); ok {
+		if _, ok := s.(*stats.InTrailer); ok {
+			seen.Store(true)
+		}
+	}
+}
+
+func (trailerWatch) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+
+func (trailerWatch) HandleConn(context.Context, stats.ConnStats) {}
+
+// call is one RPC at a box.
+type call struct {
+	grpc.ClientStream
+	trailed *atomic.Bool
+}
+
+// open writes a call whole. An error proves that it did not reach the box:
+// grpc hands the message over whole or not at all.
+func (b *Boxes) open(ctx context.Context, box ashwood.Server, method string, msg any, ready func() bool) (*call, error) {
+	cc, err := b.conn(ctx, box.Address)
+	if err != nil {
+		return nil, err
+	}
+	if !ready() {
+		return nil, errNotReady
+	}
+	c := &call{trailed: &atomic.Bool{}}
+	ctx = context.WithValue(ctx, trailerKey{}, c.trailed)
+	if c.ClientStream, err = cc.NewStream(ctx, &grpc.StreamDesc{ServerStreams: true}, method); err != nil {
+		return nil, fmt.Errorf("grpcfront: %s: %v", box.ID, err)
+	}
+	if err = c.SendMsg(msg); errors.Is(err, io.EOF) {
+		err = c.RecvMsg(&frame{}) // why the box has ended it before it had it
+	}
+	if err == nil {
+		err = c.CloseSend()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("grpcfront: %s: %v", box.ID, err)
+	}
+	return c, nil
+}
+
+var errNotReady = errors.New("grpcfront: not to be sent any more")
+
+func never() {}
+
+func always() bool { return true }
+
+func (c *call) report() ashwood.Report {
+	if v := c.Trailer().Get(trailerLoad); len(v) > 0 {
+		return wire.ParseReport(v[0])
+	}
+	return nil
+}
+
+// failure is an error as the front may show it: a box's own keeps its code, a
+// broken connection's has none, since UNAVAILABLE would invite another try.
+func (c *call) failure(box ashwood.ServerID, err error) error {
+	if c.trailed.Load() {
+		return fmt.Errorf("grpcfront: %s: %w", box, err)
+	}
+	return fmt.Errorf("grpcfront: %s: %v", box, err)
+}
+
+// Send carries out an attempt.
+func (b *Boxes) Send(ctx context.Context, a gateway.Attempt) gateway.Answer {
+	method := ashwoodpb.Box_Write_FullMethodName
+	if a.Reads {
+		method = ashwoodpb.Box_Read_FullMethodName
+	}
+	ctx = metadata.AppendToOutgoingContext(ctx, metaRemaining, strconv.FormatFloat(a.Remaining, 'f', 0, 64))
+	c, err := b.open(ctx, a.Engine, method, &frame{a.Body}, a.Ready)
+	if err != nil {
+		st := ashwood.NoConnection
+		if ctx.Err() != nil || errors.Is(err, errNotReady) {
+			st = ashwood.NotSent
+		}
+		return gateway.Answer{Result: ashwood.Result{Status: st}, Err: err}
+	}
+	a.Sent()
+	if a.Reads {
+		return c.read(a.Engine.ID)
+	}
+	first := &frame{}
+	if err := c.RecvMsg(first); err != nil {
+		return c.unserved(a.Engine.ID, err)
+	}
+	return gateway.Answer{
+		Result: ashwood.Result{Status: ashwood.Served}, Stream: &stream{call: c, box: a.Engine.ID, first: first},
+	}
+}
+
+func (c *call) read(box ashwood.ServerID) gateway.Answer {
+	var kept ashwoodpb.ReadResult
+	err := c.RecvMsg(&kept)
+	if err == nil {
+		err = c.RecvMsg(&frame{}) // its end, with the trailer
+	}
+	if !errors.Is(err, io.EOF) {
+		return c.unserved(box, err)
+	}
+	return gateway.Answer{Result: ashwood.Result{
+		Status: ashwood.Parsed, Note: float64(kept.GetCachedTokens()), Report: c.report(),
+	}}
+}
+
+// unserved tells what a call that brought no answer proves.
+func (c *call) unserved(box ashwood.ServerID, err error) gateway.Answer {
+	res := ashwood.Result{Status: ashwood.ConnectionLost, Report: c.report()}
+	switch {
+	case !c.trailed.Load():
+	case len(c.Trailer().Get(trailerAway)) > 0:
+		res.Status = ashwood.TurnedAway
+		if status.Code(err) == codes.FailedPrecondition {
+			res.Note = 1
+		}
+	default:
+		res.Status = ashwood.ServerError
+	}
+	if errors.Is(err, io.EOF) {
+		err = errors.New("ended without a token")
+	}
+	return gateway.Answer{Result: res, Err: c.failure(box, err)}
+}
+
+// stream is an answer whose tokens go on as the bytes that came.
+type stream struct {
+	*call
+	box   ashwood.ServerID
+	first *frame
+	ended bool
+}
+
+// Next gives the next token.
+func (s *stream) Next() ([]byte, error) {
+	if f := s.first; f != nil {
+		s.first = nil
+		return f.raw, nil
+	}
+	f := &frame{}
+	switch err := s.RecvMsg(f); {
+	case err == nil:
+		return f.raw, nil
+	case errors.Is(err, io.EOF):
+		s.ended = true
+		return nil, io.EOF
+	default:
+		s.ended = true
+		return nil, s.failure(s.box, err)
+	}
+}
+
+// Report is the load told at the stream's end.
+func (s *stream) Report() ashwood.Report {
+	if !s.ended {
+		return nil
+	}
+	return s.report()
+}
+
+// Close ends the call; its context, which the gateway has ended, does the rest.
+func (s *stream) Close() error { return nil }
+
+// Reserve asks a writer to hold a place.
+func (b *Boxes) Reserve(ctx context.Context, box ashwood.Server, id ashwood.RequestID, ready func() bool) gateway.Place {
+	c, err := b.open(ctx, box, ashwoodpb.Box_Reserve_FullMethodName, &ashwoodpb.RoomRequest{RequestId: string(id)}, ready)
+	if err != nil {
+		return gateway.PlaceUnasked
+	}
+	var res ashwoodpb.ReserveResult
+	switch err := c.RecvMsg(&res); {
+	case err != nil:
+		return gateway.PlaceUnknown
+	case res.GetHeld():
+		return gateway.PlaceHeld
+	}
+	return gateway.PlaceRefused
+}
+
+// Release lets go of what a box holds for a request.
+func (b *Boxes) Release(ctx context.Context, box ashwood.Server, id ashwood.RequestID) error {
+	c, err := b.open(ctx, box, ashwoodpb.Box_Release_FullMethodName, &ashwoodpb.RoomRequest{RequestId: string(id)}, always)
+	if err != nil {
+		return err
+	}
+	c.RecvMsg(&frame{}) // it counts once it is there
+	return nil
+}
+
+// Probe asks a box for its load.
+func (b *Boxes) Probe(ctx context.Context, box ashwood.Server) (ashwood.Status, ashwood.Report) {
+	c, err := b.open(ctx, box, ashwoodpb.Box_Load_FullMethodName, &ashwoodpb.LoadRequest{}, always)
+	if err != nil {
+		return ashwood.NoConnection, nil
+	}
+	if err = c.RecvMsg(&frame{}); err == nil {
+		err = c.RecvMsg(&frame{})
+	}
+	if !errors.Is(err, io.EOF) {
+		return ashwood.ServerError, c.report()
+	}
+	return ashwood.Served, c.report()
+}
--- /dev/null
+++ b/internal/grpcfront/server.go
@@ -0,0 +1,185 @@
+package grpcfront
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"runtime/debug"
+	"time"
+
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/health"
+	"google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"ashwood.example/ashwood"
+	"ashwood.example/ashwood/ashwoodpb"
+	"ashwood.example/ashwood/gateway"
+	"ashwood.example/ashwood/internal/clock"
+)
+
+const (
+	maxMessage = 256 << 10
+	maxStreams = 256 // of a connection
+)
+
+// Server takes clients' calls.
+type Server struct {
+	gw      *gateway.Gateway
+	clock   clock.Clock
+	log     *slog.Logger
+	classes map[string]float64 // deadlines in ms
+	grpc    *grpc.Server
+	health  *health.Server
+}
+
+// NewServer makes a server that routes through gw.
+func NewServer(gw *gateway.Gateway, set ashwood.Settings, c clock.Clock, log *slog.Logger) *Server {
+	s := &Server{gw: gw, clock: c, log: log, classes: map[string]float64{}, health: health.NewServer()}
+	for _, class := range set.Classes {
+		s.classes[class.Name] = clock.Millis(class.Deadline)
+	}
+	s.grpc = grpc.NewServer(grpc.ForceServerCodecV2(newCodec()), grpc.MaxRecvMsgSize(maxMessage),
+		grpc.MaxConcurrentStreams(maxStreams), grpc.StreamInterceptor(s.recovered),
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 5 * time.Minute, Time: time.Minute, Timeout: 5 * time.Second}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}))
+	// The handler takes frames, which the generated one would decode for good.
+	desc := ashwoodpb.Inference_ServiceDesc
+	desc.HandlerType = nil
+	desc.Streams = []grpc.StreamDesc{{StreamName: "Generate", ServerStreams: true, Handler: s.generate}}
+	s.grpc.RegisterService(&desc, nil)
+	grpc_health_v1.RegisterHealthServer(s.grpc, s.health)
+	return s
+}
+
+// Serve answers on a listener until Shutdown.
+func (s *Server) Serve(l net.Listener) error { return s.grpc.Serve(l) }
+
+// Shutdown takes nothing more and waits for what it has taken.
+func (s *Server) Shutdown() {
+	s.health.Shutdown()
+	s.grpc.GracefulStop()
+}
+
+// recovered keeps a panic in one call from ending the process.
+func (s *Server) recovered(srv any, ss grpc.ServerStream, _ *grpc.StreamServerInfo, handler grpc.StreamHandler) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.log.Error("panic", "value", p, "stack", string(debug.Stack()))
+			err = status.Error(codes.Internal, "internal error")
+		}
+	}()
+	return handler(srv, ss)
+}
+
+func (s *Server) generate(_ any, ss grpc.ServerStream) error {
+	var in frame
+	if err := ss.RecvMsg(&in); err != nil {
+		return err
+	}
+	req, err := s.request(ss.Context(), in.raw)
+	if err != nil {
+		return status.Error(codes.InvalidArgument, err.Error())
+	}
+	reply, err := s.gw.Serve(ss.Context(), req)
+	switch {
+	case errors.Is(err, ashwood.ErrDuplicate):
+		return status.Error(codes.AlreadyExists, err.Error())
+	case err != nil:
+		return status.Error(codes.InvalidArgument, err.Error())
+	}
+	switch reply.Kind {
+	case gateway.Served:
+		return pass(ss, reply.Stream)
+	case gateway.Refused:
+		return refusal(reply)
+	case gateway.Gone:
+		return status.FromContextError(context.Cause(ss.Context())).Err()
+	}
+	return failure(reply.Err)
+}
+
+// pass sends tokens on as they come.
+func pass(ss grpc.ServerStream, stream gateway.Stream) error {
+	defer stream.Close()
+	for {
+		piece, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return failure(err)
+		}
+		if err := ss.SendMsg(&frame{piece}); err != nil {
+			return err
+		}
+	}
+}
+
+// refusal tells the client when to come back. Both codes say that the request
+// never ran, or may be repeated: RESOURCE_EXHAUSTED that there was no room for
+// it, UNAVAILABLE that no box has answered.
+func refusal(reply gateway.Reply) error {
+	code := codes.ResourceExhausted
+	if reply.Err != nil {
+		code = codes.Unavailable
+	}
+	st, err := status.New(code, "refused: try again later").WithDetails(&errdetails.RetryInfo{
+		RetryDelay: durationpb.New(clock.Duration(reply.RetryAfter)),
+	})
+	if err != nil {
+		return status.Error(code, "refused: try again later")
+	}
+	return st.Err()
+}
+
+// failure keeps a box's code. A lost connection gets UNKNOWN: it may have run,
+// and clients repeat UNAVAILABLE by themselves.
+func failure(err error) error {
+	st, ok := status.FromError(err)
+	switch {
+	case errors.Is(err, gateway.ErrTimedOut):
+		return status.Error(codes.DeadlineExceeded, err.Error())
+	case errors.Is(err, gateway.ErrClientGone):
+		return status.Error(codes.Canceled, err.Error())
+	case err == nil:
+		return status.Error(codes.Unknown, "failed: it may have run")
+	case ok && st.Code() != codes.OK:
+		return st.Err()
+	}
+	return status.Error(codes.Unknown, "failed: it may have run: "+err.Error())
+}
+
+// request takes out the fields that decisions need.
+func (s *Server) request(ctx context.Context, raw []byte) (*gateway.Request, error) {
+	var in ashwoodpb.GenerateRequest
+	if err := proto.Unmarshal(raw, &in); err != nil {
+		return nil, err
+	}
+	if in.GetRequestId() == "" {
+		return nil, errors.New("request_id is missing")
+	}
+	left, ok := s.classes[in.GetClass()]
+	if !ok {
+		return nil, errors.New("class is unknown: " + in.GetClass())
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		left = float64(deadline.UnixMicro())/1000 - s.clock.Now()
+	}
+	if ms := in.GetFirstTokenMs(); ms > 0 {
+		left = min(left, float64(ms))
+	}
+	return &gateway.Request{Body: raw, Call: ashwood.Call{
+		ID: ashwood.RequestID(in.GetRequestId()), Class: in.GetClass(), Tenant: in.GetTenant(),
+		Session: gateway.Key(in.GetSession()), Prefix: gateway.Key(in.GetPrefix()), PromptTokens: float64(in.GetPromptTokens()),
+		PrefixTokens: float64(in.GetPrefixTokens()), MaxOut: float64(in.GetMaxTokens()),
+		Remaining: max(left, 0), Retry: in.GetResent(),
+	}}, nil
+}
--- a/internal/platform/engines.go
+++ b/internal/platform/engines.go
@@ -20,6 +20,7 @@
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/gateway"
 	"ashwood.example/ashwood/internal/clock"
+	"ashwood.example/ashwood/internal/wire"
 )
 
 // Header names of the protocol.
@@ -124,7 +125,7 @@
 	if err != nil {
 		return failed(ctx, wrote, err)
 	}
-	res := ashwood.Result{Report: parseReport(string(head.Peek(headerReport)))}
+	res := ashwood.Result{Report: wire.ParseReport(string(head.Peek(headerReport)))}
 	code := head.StatusCode()
 	if code == fasthttp.StatusOK {
 		s := newStream(ctx, e.pool, c, &head)
@@ -262,9 +263,9 @@
 	if err != nil {
 		return failed(ctx, wrote, err).Status, nil
 	}
-	report := parseReport(string(head.Peek(headerReport)))
+	report := wire.ParseReport(string(head.Peek(headerReport)))
 	if report == nil {
-		report = parseReport(string(body))
+		report = wire.ParseReport(string(body))
 	}
 	if head.StatusCode() != fasthttp.StatusOK {
 		return ashwood.ServerError, report
@@ -272,29 +273,6 @@
 	return ashwood.Served, report
 }
 
-// reportFields are the names of the values that decisions use.
-var reportFields = map[string]string{
-	"inflight": ashwood.ReportInFlight, "busy_reqs": ashwood.ReportInFlight,
-	"queue": ashwood.ReportQueue, "pending": ashwood.ReportQueue, "x0": ashwood.ReportMemory,
-}
-
-// parseReport reads name=value pairs; what it does not know it skips.
-func parseReport(text string) (r ashwood.Report) {
-	for _, pair := range strings.Split(strings.TrimSpace(text), ",") {
-		name, value, _ := strings.Cut(pair, "=")
-		known, ok := reportFields[strings.TrimSpace(name)]
-		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-		if !ok || err != nil {
-			continue
-		}
-		if r == nil {
-			r = ashwood.Report{}
-		}
-		r[known] = v
-	}
-	return r
-}
-
 // stream is an engine's answer. Its bytes go on as they came; only the load
 // report in the comment at its end is read.
 type stream struct {
@@ -369,7 +347,7 @@
 		return nil
 	}
 	line, _, _ = strings.Cut(line, "\n")
-	return parseReport(line)
+	return wire.ParseReport(line)
 }
 
 // Close gives the connection back, or closes it to end the engine's work.
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"log/slog"
 	"math"
@@ -192,13 +191,13 @@
 		return nil, fmt.Errorf("header %s: %w", headerLeft, err)
 	}
 	req.Remaining = left * 1000
-	req.Session = key(string(h.Peek(headerSession)))
+	req.Session = gateway.Key(string(h.Peek(headerSession)))
 	for _, label := range strings.Split(string(h.Peek(headerLabels)), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(label), "=")
 		var into *float64
 		switch name {
 		case "prefix":
-			req.Prefix = key(value)
+			req.Prefix = gateway.Key(value)
 		case "prompt_len":
 			into = &req.PromptTokens
 		case "prefix_len":
@@ -222,16 +221,3 @@
 	}
 	return v, nil
 }
-
-// key turns an opaque name into a number; an absent one is 0.
-func key(text string) uint64 {
-	if text == "" {
-		return 0
-	}
-	if v, err := strconv.ParseUint(text, 16, 64); err == nil {
-		return v
-	}
-	h := fnv.New64a()
-	h.Write([]byte(text))
-	return h.Sum64()
-}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -8,6 +8,8 @@
 	"errors"
 	"fmt"
 	"math"
+	"strconv"
+	"strings"
 	"time"
 
 	"ashwood.example/ashwood"
@@ -352,6 +354,29 @@
 	"busy_reqs": ashwood.ReportInFlight, "pending": ashwood.ReportQueue, "x0": ashwood.ReportMemory,
 }
 
+// textNames are the names of the same values on sockets.
+var textNames = map[string]string{
+	"inflight": ashwood.ReportInFlight, "queue": ashwood.ReportQueue, "x0": ashwood.ReportMemory,
+}
+
+// ParseReport reads a load report in the form name=value,name=value. What it
+// does not know it skips; it gives nil where nothing is left.
+func ParseReport(text string) (r ashwood.Report) {
+	for _, pair := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		known, ok := textNames[strings.TrimSpace(name)]
+		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if !ok || err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+			continue
+		}
+		if r == nil {
+			r = ashwood.Report{}
+		}
+		r[known] = v
+	}
+	return r
+}
+
 func report(load map[string]*float64) ashwood.Report {
 	var r ashwood.Report
 	for wire, name := range reportNames {
--- a/scheduler.go
+++ b/scheduler.go
@@ -140,7 +140,7 @@
 	}
 	c := s.classes[e.Class]
 	if c == nil {
-		s.act(Refuse{ID: e.ID})
+		s.act(Refuse{ID: e.ID, RetryAfter: s.pause()})
 		return
 	}
 	r := &request{
@@ -278,13 +278,22 @@
 func (s *Scheduler) giveUp(r *request) {
 	c := r.class
 	if r.ran == nil || c.Effect == Pure || c.Effect == Token && c.Group == ScopeAll {
-		s.act(Refuse{ID: r.ID})
+		s.act(Refuse{ID: r.ID, RetryAfter: s.pause()})
 	} else {
 		s.act(Fail{r.ID})
 	}
 	s.end(r)
 }
 
+// pause is how long a refused client is to stay away: as long as it would heed,
+// since what refuses (memory spoken for, a dead stage) lasts longer than that.
+func (s *Scheduler) pause() time.Duration {
+	if !s.set.Limits.RetryAfter {
+		return 0
+	}
+	return s.set.Limits.MaxRetryAfter
+}
+
 // end closes a request and lets go of whatever is held for it; what is still
 // out is called off, and its outcome releases again (rule 5 on every path).
 func (s *Scheduler) end(r *request) {
@@ -451,7 +460,9 @@
 		s.pace[a.write].observe(s.now, e.Latency, a.queue)
 		s.judge(a.srv, r, false)
 	case CalledOff:
-		s.pace[a.write].observe(s.now, e.Latency, a.queue)
+		if !a.begun { // a client that leaves a begun answer tells nothing of the wait before it
+			s.pace[a.write].observe(s.now, e.Latency, a.queue)
+		}
 	}
 }
 
