Add the Fiber middleware, xDS for the gRPC boxes, and tests on sockets

internal/xds follows Envoy's clusters and endpoints over ADS and rejects a bad update whole; deploy/fronts.toml, named by ASHWOOD_OPERATOR, sets up the gRPC front with it or with a list. middleware routes a Fiber application's requests through the same gateway (platform.Answer); its Listener lets a leaving client be noticed. Integration tests build and start the program and speak to it over sockets; stories with scripted peers cover what may be sent again, broken streams, leaving clients, closed idle connections, malformed input, discovery from version 0, releases that do not get through and drains seen at writing.

Two things were found by running the new tests many times under the race detector, both in the tests and not in the code: a script that took for granted that a place is asked before a client leaves, and one that counted releases, of which a place still asked for gets two.

--- a/cmd/ashwood/main.go
+++ b/cmd/ashwood/main.go
@@ -13,14 +13,19 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
+	"golang.org/x/net/netutil"
+
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/gateway"
 	"ashwood.example/ashwood/internal/clock"
 	"ashwood.example/ashwood/internal/config"
+	"ashwood.example/ashwood/internal/grpcfront"
 	"ashwood.example/ashwood/internal/platform"
+	"ashwood.example/ashwood/internal/xds"
 )
 
 const (
@@ -29,7 +34,7 @@
 	// Of the memory limit, what the runtime may use before it collects harder.
 	memoryShare = 0.75
 	// Of the sockets, what clients and engines may have; the rest is for the runtime.
-	clientShare, engineShare = 0.5, 0.4
+	clientShare, engineShare, grpcShare = 0.5, 0.3, 0.1
 )
 
 func main() {
@@ -52,37 +57,107 @@
 	if err != nil {
 		return err
 	}
+	op, err := config.LoadOperator(os.Getenv, cfg)
+	if err != nil {
+		return err
+	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * memoryShare * (1 << 20)))
+	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 
-	sockets := float64(cfg.Limits.Sockets)
 	c := clock.System()
-	engines := platform.NewEngines(cfg.Settings, c, int(sockets*engineShare))
-	gw, err := gateway.New(cfg.Settings, cfg.Seed, engines, c, log)
-	if err != nil {
-		return fmt.Errorf("settings: %w", err)
+	fronts := make([]front, 0, 2)
+	if op.GRPC != nil {
+		f, err := openGRPC(cfg, *op.GRPC, c, log)
+		if err != nil {
+			return err
+		}
+		fronts = append(fronts, f)
 	}
-	gw.Update(ashwood.ListStale, cfg.Known.Engines)
-
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	l, err := net.Listen("tcp", cfg.Listen)
+	f, err := openPlatform(cfg, c, log)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
-	go gw.Run(context.Background())
-	go platform.NewDiscovery(cfg.Discovery, c, log, gw.Update).Run(context.Background(), cfg.Known.Generation, len(cfg.Known.Engines) > 0)
+	fronts = append(fronts, f)
 
-	server := platform.NewServer(gw, log, int(sockets*clientShare))
-	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(l) }()
+	ended := make(chan error, len(fronts))
+	for _, f := range fronts {
+		go func() { ended <- f.serve() }()
+	}
 	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
 	select {
 	case err := <-ended:
-		return errors.Join(errors.New("the server has ended"), err)
-	case <-ctx.Done():
+		return errors.Join(errors.New("a server has ended"), err)
+	case <-term.Done():
+	}
+	for _, f := range fronts {
+		f.drain()
 	}
-	server.Drain()
 	time.Sleep(drainTime)
-	return server.Shutdown(context.Background())
+	errs := make([]error, len(fronts))
+	var all sync.WaitGroup
+	for i, f := range fronts {
+		all.Go(func() { errs[i] = f.shutdown() })
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+// front is one of the program's servers.
+type front struct {
+	serve    func() error
+	drain    func()       // clients are to go elsewhere
+	shutdown func() error // take nothing more, finish what was taken
+}
+
+// openPlatform sets up the platform's protocol.
+func openPlatform(cfg config.Config, c clock.Clock, log *slog.Logger) (front, error) {
+	sockets := float64(cfg.Limits.Sockets)
+	gw, err := gateway.New(cfg.Settings, cfg.Seed, platform.NewEngines(cfg.Settings, c, int(sockets*engineShare)), c, log)
+	if err != nil {
+		return front{}, fmt.Errorf("settings: %w", err)
+	}
+	l, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return front{}, fmt.Errorf("listen: %w", err)
+	}
+	gw.Update(ashwood.ListStale, cfg.Known.Engines)
+	go gw.Run(context.Background())
+	known := len(cfg.Known.Engines) > 0
+	go platform.NewDiscovery(cfg.Discovery, c, log, gw.Update).Run(context.Background(), cfg.Known.Generation, known)
+	s := platform.NewServer(gw, log, int(sockets*clientShare))
+	return front{
+		serve: func() error { return s.Serve(l) }, drain: s.Drain,
+		shutdown: func() error { return s.Shutdown(context.Background()) },
+	}, nil
+}
+
+// openGRPC sets up the gRPC front, with a list of boxes of its own.
+func openGRPC(cfg config.Config, op config.GRPC, c clock.Clock, log *slog.Logger) (front, error) {
+	boxes := grpcfront.NewBoxes(cfg.Settings)
+	gw, err := gateway.New(cfg.Settings, cfg.Seed, boxes, c, log)
+	if err != nil {
+		return front{}, fmt.Errorf("settings: %w", err)
+	}
+	l, err := net.Listen("tcp", op.Listen)
+	if err != nil {
+		return front{}, fmt.Errorf("grpc.listen: %w", err)
+	}
+	l = netutil.LimitListener(l, int(float64(cfg.Limits.Sockets)*grpcShare))
+	go gw.Run(context.Background())
+	if op.XDS == nil {
+		gw.Update(ashwood.ListWhole, op.Boxes)
+	} else {
+		follow := xds.New(*op.XDS, c, log, func(form ashwood.ListForm, list []ashwood.Server) {
+			gw.Update(form, list)
+			boxes.Keep(list)
+		})
+		go func() { log.Error("xds", "err", follow.Run(context.Background())) }()
+	}
+	s := grpcfront.NewServer(gw, cfg.Settings, c, log)
+	return front{
+		serve: func() error { return s.Serve(l) }, drain: s.Drain,
+		shutdown: func() error { s.Shutdown(); return nil },
+	}, nil
 }
--- /dev/null
+++ b/cmd/ashwood/main_test.go
@@ -0,0 +1,243 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"ashwood.example/ashwood/ashwoodpb"
+)
+
+var program string
+
+// TestMain builds the program, which the tests start and speak to over sockets.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "ashwood")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "ashwood")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v: %s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const settings = `{"siblings":1,"my_number":0,"locality":"a","kinds":["prefill","decode"],"discovery":"automatic",
+	"lanes":[{"name":"case-chat","aim":3000,"deadline":15000,"worth":2,"effect":"pure"},
+	{"name":"send-order","aim":1200,"deadline":6000,"worth":5,"effect":"side_effect"}],
+	"family_info":{"early_pairing":true,"kind_role":["read","write"],"release":500,"tokens_by_kind":[200000,200000]},
+	"ceilings":{"attempts_cap":6,"cancel":true,"retry_after":true,"max_retry_after":500,"connect_timeout":250,"conn_idle":15000},
+	"report":{"how":"inline","fields":["busy_reqs","pending","x0","x1"]}}`
+
+// serve starts an HTTP peer and gives its address.
+func serve(t *testing.T, h http.HandlerFunc) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func freePort(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func write(t *testing.T, name, text string) string {
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// start runs the program until it serves.
+func start(t *testing.T, config, operator string) *exec.Cmd {
+	t.Helper()
+	cmd := exec.Command(program)
+	cmd.Env = []string{"ROUTER_CONFIG=" + write(t, "config.json", config)}
+	if operator != "" {
+		cmd.Env = append(cmd.Env, "ASHWOOD_OPERATOR="+write(t, "operator.toml", operator))
+	}
+	out, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		if strings.Contains(lines.Text(), "msg=serving") {
+			go io.Copy(io.Discard, out)
+			return cmd
+		}
+	}
+	t.Fatalf("it ended without serving: %v", cmd.Wait())
+	return nil
+}
+
+// discovery answers each call with the list, and watches with silence.
+func discovery(t *testing.T, list string) string {
+	return serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("from") != "" {
+			<-r.Context().Done()
+			return
+		}
+		io.WriteString(w, list)
+	})
+}
+
+func instance(id, addr, kind string) string {
+	return fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"a","machineType":%q,"cell":0,"lifecycle":"up","weight":1,"startedAtMs":0}`, id, addr, kind)
+}
+
+func TestServesAndFinishesAfterSIGTERM(t *testing.T) {
+	writing, finish := make(chan struct{}), make(chan struct{})
+	reader := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		w.WriteHeader(http.StatusAccepted)
+		io.WriteString(w, `{"cached_tokens":0}`)
+	})
+	writer := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/bootstrap/") {
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+		io.WriteString(w, "data: one\n\n")
+		w.(http.Flusher).Flush()
+		close(writing)
+		<-finish
+		io.WriteString(w, "data: [DONE]\n\n")
+	})
+	listen := freePort(t)
+	cmd := start(t, fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":%s}`, listen,
+		discovery(t, `{"generation":3,"reset":true,"instances":[`+instance("r", reader, "prefill")+","+instance("w", writer, "decode")+`]}`),
+		settings), "")
+	if r, err := http.Get("http://" + listen + "/-/ready"); err != nil || r.StatusCode != 200 {
+		t.Fatalf("%v, %v", r, err)
+	}
+	req, err := http.NewRequest("POST", "http://"+listen+"/v1/chat/completions", strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for k, v := range map[string]string{"X-Txn": "9b1f", "X-Lane": "send-order", "X-Remaining": "5.0", "X-Labels": "prompt_len=64,max_out=9"} {
+		req.Header.Set(k, v)
+	}
+	r, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-writing
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	close(finish)
+	body, err := io.ReadAll(r.Body)
+	if r.StatusCode != 200 || string(body) != "data: one\n\ndata: [DONE]\n\n" || err != nil {
+		t.Errorf("%s, %q, %v", r.Status, body, err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("after SIGTERM: %v", err)
+	}
+}
+
+// grpcBox reads and writes.
+type grpcBox struct {
+	ashwoodpb.UnimplementedBoxServer
+}
+
+func (grpcBox) Read(context.Context, *ashwoodpb.GenerateRequest) (*ashwoodpb.ReadResult, error) {
+	return &ashwoodpb.ReadResult{}, nil
+}
+
+func (grpcBox) Write(_ *ashwoodpb.GenerateRequest, s grpc.ServerStreamingServer[ashwoodpb.Token]) error {
+	return s.Send(&ashwoodpb.Token{Text: "hello"})
+}
+
+func TestOperatorsFileSetsUpTheGRPCFront(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	box := grpc.NewServer()
+	ashwoodpb.RegisterBoxServer(box, grpcBox{})
+	go box.Serve(l)
+	t.Cleanup(box.Stop)
+	listen, front := freePort(t), freePort(t)
+	start(t, fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,"settings":%s}`, listen,
+		discovery(t, `{"generation":1,"reset":true,"instances":[]}`), settings), fmt.Sprintf(`
+[grpc]
+listen = %q
+[[grpc.boxes]]
+id = "r"
+address = %q
+kind = "prefill"
+[[grpc.boxes]]
+id = "w"
+address = %q
+kind = "decode"
+`, front, l.Addr(), l.Addr()))
+	cc, err := grpc.NewClient("passthrough:///"+front, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer cc.Close()
+	s, err := ashwoodpb.NewInferenceClient(cc).Generate(context.Background(), &ashwoodpb.GenerateRequest{
+		RequestId: "q", Class: "send-order", PromptTokens: 64}, grpc.WaitForReady(true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if tok, err := s.Recv(); err != nil || tok.GetText() != "hello" {
+		t.Errorf("%v, %v", tok, err)
+	}
+	if _, err := s.Recv(); err != io.EOF {
+		t.Errorf("end %v", err)
+	}
+}
+
+func TestBadConfigurationEndsItNamingTheKey(t *testing.T) {
+	good := fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":%s}`, settings)
+	tests := []struct{ old, new, operator, key string }{
+		{`"effect":"pure"`, `"effect":"odd"`, "", "lanes.effect"},
+		{`"name":"n"`, `"limits":{"sockets":3},"name":"n"`, "", "limits.sockets"},
+		{"", "", "[grpc]\nlisten = 7", "grpc.listen"},
+		{"", "", "[grpc]\nlisten = \"127.0.0.1:0\"\n", "grpc.boxes"},
+		{"", "", "[grpc]\nlistn = \"127.0.0.1:0\"\n", "grpc.listn"},
+	}
+	for _, tt := range tests {
+		cmd := exec.Command(program)
+		cmd.Env = []string{"ROUTER_CONFIG=" + write(t, "c", strings.Replace(good, tt.old, tt.new, 1))}
+		if tt.operator != "" {
+			cmd.Env = append(cmd.Env, "ASHWOOD_OPERATOR="+write(t, "o", tt.operator))
+		}
+		out, err := cmd.CombinedOutput()
+		if err == nil || !strings.Contains(string(out), tt.key) {
+			t.Errorf("%s: %v, %s", tt.key, err, out)
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,12 @@
 	ErrTimedOut   = errors.New("gateway: no first token in time")
 )
 
+// Clock tells the time and calls back; see SystemClock.
+type Clock = clock.Clock
+
+// SystemClock is the machine's clock.
+func SystemClock() Clock { return clock.System() }
+
 // Request is a client's try in the form that its front and the transport share.
 type Request struct {
 	ashwood.Call
@@ -135,12 +141,12 @@
 type Gateway struct {
 	router    *ashwood.Router
 	transport Transport
-	clock     clock.Clock
+	clock     Clock
 	log       *slog.Logger
 }
 
 // New makes a gateway. Run must be running for it to serve.
-func New(set ashwood.Settings, seed int64, transport Transport, c clock.Clock, log *slog.Logger) (*Gateway, error) {
+func New(set ashwood.Settings, seed int64, transport Transport, c Clock, log *slog.Logger) (*Gateway, error) {
 	g := &Gateway{transport: transport, clock: c, log: log}
 	var err error
 	g.router, err = ashwood.NewRouter(set, seed, c, func(v ashwood.Server) { g.spawn(func() { g.probe(v) }) })
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"math"
-	"net"
 	"os"
 	"strconv"
 
@@ -88,15 +87,12 @@
 		if *f.value == "" {
 			*f.value = getenv(f.env)
 		}
-		if *f.value == "" {
-			return Config{}, fmt.Errorf("config: %s is missing", f.key)
-		}
-		if f.key == "name" {
-			continue
-		}
-		if _, _, err := net.SplitHostPort(*f.value); err != nil {
-			return Config{}, fmt.Errorf("config: %s: %w", f.key, err)
-		}
+	}
+	if c.Name == "" {
+		return Config{}, errors.New("config: name is missing")
+	}
+	if err := errors.Join(address("listen", c.Listen), address("discovery", c.Discovery)); err != nil {
+		return Config{}, err
 	}
 	if in.Seed != "" {
 		seed, err := strconv.ParseUint(in.Seed, 16, 64)
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,107 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"ashwood.example/ashwood"
+)
+
+const good = `{"name":"n3","listen":"10.0.0.4:7070","discovery":"10.2.0.1:8500","seed":"8c1f30d27a5be964",
+	"limits":{"cores":0.5,"memory_mb":100,"sockets":512},
+	"known":{"generation":41,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"10.1.0.18:7070","zone":"a",
+	"machineType":"m2","cell":3,"lifecycle":"draining","weight":1.5,"startedAtMs":2500}]},
+	"settings":{"kinds":["m2"],"family_info":{"kind_role":["read"]},"lanes":[{"name":"c","deadline":9,"effect":"pure"}]}}`
+
+func none(string) string { return "" }
+
+func TestParse(t *testing.T) {
+	c, err := parse([]byte(good), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	seed := uint64(0x8c1f30d27a5be964)
+	engines := []ashwood.Server{{ID: "s-1", Address: "10.1.0.18:7070", Zone: "a", Kind: "m2", Cell: 3,
+		State: ashwood.StateFading, Weight: 1.5, Started: 2500e6}}
+	if c.Seed != int64(seed) || c.Limits != (Limits{0.5, 100, 512}) || c.Known.Generation != 41 ||
+		len(c.Settings.Classes) != 1 || cmp.Diff(engines, c.Known.Engines) != "" {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestDefaultsAndEnvironment(t *testing.T) {
+	env := map[string]string{"ROUTER_NAME": "x", "ROUTER_LISTEN": "127.0.0.1:1", "ROUTER_DISCOVERY": "127.0.0.1:2"}
+	c, err := parse([]byte(`{"settings":{}}`), func(k string) string { return env[k] })
+	if err != nil || c.Name != "x" || c.Listen != "127.0.0.1:1" || c.Discovery != "127.0.0.1:2" ||
+		c.Limits != (Limits{defaultCores, defaultMemoryMB, defaultSockets}) {
+		t.Errorf("%+v, %v", c, err)
+	}
+}
+
+func TestErrorsNameTheKey(t *testing.T) {
+	tests := []struct{ old, new, key string }{
+		{`"name":"n3"`, `"name":7`, "name"},
+		{`"listen":"10.0.0.4:7070",`, "", "listen"},
+		{"10.2.0.1:8500", "nowhere", "discovery"},
+		{"8c1f30d27a5be964", "xyz", "seed"},
+		{`"cores":0.5`, `"cores":0`, "limits.cores"},
+		{`"memory_mb":100`, `"memory_mb":1`, "limits.memory_mb"},
+		{`"sockets":512`, `"sockets":"many"`, "limits.sockets"},
+		{`"lifecycle":"draining"`, `"lifecycle":"odd"`, "known: wire: targets: field \"instances[0].lifecycle\""},
+		{`"instanceId":"s-1",`, "", "instances[0].instanceId"},
+		{`"generation":41`, `"generation":null`, "known: wire: targets: field \"generation\""},
+		{`"kind_role":["read"]`, `"kind_role":["odd"]`, "family_info.kind_role"},
+		{`"effect":"pure"`, `"effect":"odd"`, "lanes.effect"},
+		{`"settings":`, `"other":`, "settings is missing"},
+	}
+	for _, tt := range tests {
+		if _, err := parse([]byte(strings.Replace(good, tt.old, tt.new, 1)), none); err == nil || !strings.Contains(err.Error(), tt.key) {
+			t.Errorf("%s: error %v does not name it", tt.key, err)
+		}
+	}
+}
+
+func TestOperatorsFile(t *testing.T) {
+	c := Config{Name: "n3", Settings: ashwood.Settings{Kinds: []ashwood.Kind{{Name: "m2"}}}}
+	load := func(text string) (Operator, error) {
+		path := filepath.Join(t.TempDir(), "o.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return LoadOperator(func(string) string { return path }, c)
+	}
+	const grpc = "[grpc]\nlisten = \"127.0.0.1:1\"\n"
+	o, err := load(grpc + "[[grpc.boxes]]\nid = \"b\"\naddress = \"127.0.0.1:2\"\nkind = \"m2\"\n")
+	want := Operator{&GRPC{Listen: "127.0.0.1:1", Boxes: []ashwood.Server{
+		{ID: "b", Address: "127.0.0.1:2", Kind: "m2", State: ashwood.StateOn, Weight: 1}}}}
+	if diff := cmp.Diff(want, o); diff != "" || err != nil {
+		t.Error(diff, err)
+	}
+	if o, err := LoadOperator(none, c); err != nil || o.GRPC != nil {
+		t.Errorf("without a file: %+v, %v", o, err)
+	}
+	for text, key := range map[string]string{
+		"[grpc]\n":                      "grpc.listen",
+		grpc:                            "grpc.boxes",
+		grpc + "odd = 1":                "grpc.odd",
+		grpc + "[grpc.xds]\nserver='x'": "grpc.xds.server",
+		grpc + "[[grpc.boxes]]\nid='b'\naddress='127.0.0.1:2'\nkind='odd'": "grpc.boxes[0].kind",
+		grpc + "[[grpc.boxes]]\naddress='127.0.0.1:2'":                     "grpc.boxes[0].id",
+	} {
+		if _, err := load(text); err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: %v", key, err)
+		}
+	}
+}
+
+// The file that ships must load.
+func TestShippedOperatorsFile(t *testing.T) {
+	o, err := LoadOperator(func(string) string { return "../../deploy/fronts.toml" }, Config{Name: "n3"})
+	if err != nil || o.GRPC == nil || o.GRPC.XDS == nil || o.GRPC.XDS.Node != "n3" {
+		t.Errorf("%+v, %v", o, err)
+	}
+}
--- a/internal/grpcfront/server.go
+++ b/internal/grpcfront/server.go
@@ -62,11 +62,11 @@
 // Serve answers on a listener until Shutdown.
 func (s *Server) Serve(l net.Listener) error { return s.grpc.Serve(l) }
 
+// Drain has the health service send clients elsewhere.
+func (s *Server) Drain() { s.health.Shutdown() }
+
 // Shutdown takes nothing more and waits for what it has taken.
-func (s *Server) Shutdown() {
-	s.health.Shutdown()
-	s.grpc.GracefulStop()
-}
+func (s *Server) Shutdown() { s.grpc.GracefulStop() }
 
 // recovered keeps a panic in one call from ending the process.
 func (s *Server) recovered(srv any, ss grpc.ServerStream, _ *grpc.StreamServerInfo, handler grpc.StreamHandler) (err error) {
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -9,7 +9,9 @@
 // writeWait bounds one write to a client that does not read.
 const writeWait = 10 * time.Second
 
-// listener hands out connections that can tell when their client leaves.
+// Listener wraps one so that its connections tell when their client leaves.
+func Listener(l net.Listener) net.Listener { return listener{l} }
+
 type listener struct{ net.Listener }
 
 func (l listener) Accept() (net.Conn, error) {
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,320 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"ashwood.example/ashwood"
+	"ashwood.example/ashwood/gateway"
+	"ashwood.example/ashwood/internal/clock"
+)
+
+// seen is a request as an engine got it.
+type seen struct {
+	Method, Target, ID, Body string
+	conn                     net.Conn
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// engine is a scripted peer: answer gives the bytes to write for a request,
+// "" for none; the connection is closed after bytes that end with "\x00".
+func engine(t *testing.T, name, kind string, answer func(seen) string) ashwood.Server {
+	l := listen(t)
+	serve := func(c net.Conn) {
+		defer c.Close()
+		br := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			body, _ := io.ReadAll(r.Body)
+			out := answer(seen{r.Method, r.RequestURI, r.Header.Get(headerID), string(body), c})
+			io.WriteString(c, strings.TrimSuffix(out, "\x00"))
+			if strings.HasSuffix(out, "\x00") {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return ashwood.Server{ID: ashwood.ServerID(name), Kind: kind, State: ashwood.StateOn, Address: l.Addr().String()}
+}
+
+const (
+	parsed = "HTTP/1.1 202 Accepted\r\nContent-Length: 20\r\nX-Pressure: inflight=1\r\n\r\n{\"cached_tokens\":16}"
+	held   = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	freed  = "HTTP/1.1 204 No Content\r\n\r\n"
+	full   = "HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"
+	head   = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	event1 = "data: {\"a\":1}\n\n"
+	ending = "data: [DONE]\n\n: X-Pressure: inflight=3,queue=1,x0=0.5\n\n"
+)
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+func whole() string { return head + chunk(event1) + chunk(ending) + "0\r\n\r\n" }
+
+func reads(s seen) string {
+	if s.Method == "DELETE" {
+		return freed
+	}
+	return parsed
+}
+
+// writes answers requests by script and the calls beside them well.
+func writes(script func(seen) string) func(seen) string {
+	return func(s seen) string {
+		switch {
+		case s.Method == "DELETE":
+			return freed
+		case strings.HasPrefix(s.Target, roomsPath):
+			return held
+		}
+		return script(s)
+	}
+}
+
+func settings() ashwood.Settings {
+	class := func(name string, e ashwood.Effect) ashwood.Class {
+		return ashwood.Class{Name: name, Aim: 2 * time.Second, Deadline: 5 * time.Second, Worth: 1, Effect: e}
+	}
+	return ashwood.Settings{
+		Nodes: 1, Ahead: true, Reports: ashwood.ReportInline,
+		Kinds: []ashwood.Kind{
+			{Name: "reader", Role: ashwood.RoleRead, MemoryTokens: 1e5}, {Name: "writer", Role: ashwood.RoleWrite, MemoryTokens: 1e5}},
+		Classes: []ashwood.Class{class("chat", ashwood.Pure), class("order", ashwood.SideEffect)},
+		Limits:  ashwood.Limits{MaxAttempts: 6, Cancel: true, RetryAfter: true, MaxRetryAfter: 500 * time.Millisecond},
+	}
+}
+
+// start brings up a gateway with these engines and gives a connection to it.
+func start(t *testing.T, list ...ashwood.Server) net.Conn {
+	t.Helper()
+	log, c := slog.New(slog.DiscardHandler), clock.System()
+	gw, err := gateway.New(settings(), 1, NewEngines(settings(), c, 50), c, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	gw.Update(ashwood.ListWhole, list)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go gw.Run(ctx)
+	l := listen(t)
+	go NewServer(gw, log, 50).Serve(l)
+	c2, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c2.Close() })
+	c2.SetDeadline(time.Now().Add(20 * time.Second))
+	return c2
+}
+
+func request(class, extra, body string) string {
+	return fmt.Sprintf("POST /v1/chat/completions?x=%%2F HTTP/1.1\r\nHost: service.internal\r\nX-Txn: 9b1f\r\nX-Lane: %s\r\n"+
+		"X-Entity: 7f3a\r\nX-Remaining: 3.000\r\nX-Labels: prefix=5c0f,prompt_len=64,prefix_len=32,max_out=9\r\n%sContent-Length: %d\r\n\r\n%s",
+		class, extra, len(body), body)
+}
+
+func ask(t *testing.T, c net.Conn, text string) (*http.Response, string, error) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(r.Body)
+	return r, string(body), err
+}
+
+func TestBytesPassThroughBothWays(t *testing.T) {
+	got := make(chan seen, 9)
+	c := start(t, engine(t, "r1", "reader", reads),
+		engine(t, "w1", "writer", writes(func(s seen) string { got <- s; return whole() })))
+	for range 2 { // on one connection
+		r, body, err := ask(t, c, request("chat", "", `{"odd" :  "spacing"}`))
+		if err != nil || r.StatusCode != 200 || body != event1+ending {
+			t.Fatalf("%v, %v, %q", r.Status, err, body)
+		}
+		s := <-got
+		s.conn = nil
+		want := seen{Method: "POST", Target: "/v1/chat/completions?x=%2F", ID: "9b1f", Body: `{"odd" :  "spacing"}`}
+		if s != want {
+			t.Errorf("the writer got %+v, want %+v", s, want)
+		}
+	}
+}
+
+// An order is sent again only on proof that it has not run, and a client is
+// told to try again only then too.
+func TestOutcomesOfAnOrder(t *testing.T) {
+	tests := []struct {
+		name, first string
+		code        int
+		writes      int
+	}{
+		{"turned away", full, 200, 2},
+		{"error", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", 502, 1},
+		{"503 without proof", "HTTP/1.1 503 Oops\r\nContent-Length: 0\r\n\r\n", 502, 1},
+		{"202 from a writer", parsed, 502, 1},
+		{"reset", "\x00", 502, 1},
+		{"broken before an event", head + "\x00", 502, 1},
+	}
+	for _, tt := range tests {
+		got := make(chan seen, 9)
+		script := writes(func(s seen) string {
+			got <- s
+			if len(got) == 1 {
+				return tt.first
+			}
+			return whole()
+		})
+		c := start(t, engine(t, "r1", "reader", reads), engine(t, "w1", "writer", script), engine(t, "w2", "writer", script))
+		r, body, err := ask(t, c, request("order", "", "{}"))
+		if err != nil || r.StatusCode != tt.code || len(got) != tt.writes {
+			t.Errorf("%s: %s after %d writes, want %d after %d: %s, %v", tt.name, r.Status, len(got), tt.code, tt.writes, body, err)
+		}
+	}
+}
+
+// What is refused comes back when told to.
+func TestRefusalCarriesRetryAfter(t *testing.T) {
+	c := start(t)
+	r, body, err := ask(t, c, strings.Replace(request("order", "", "{}"), "3.000", "0.100", 1))
+	if r.StatusCode != 503 || r.Header.Get("Retry-After") != "0.500" || err != nil {
+		t.Errorf("%s, Retry-After %q, %q, %v", r.Status, r.Header.Get("Retry-After"), body, err)
+	}
+}
+
+// A stream that breaks must not look whole: the connection ends without the last chunk.
+func TestBrokenStreamEndsTheConnection(t *testing.T) {
+	c := start(t, engine(t, "r1", "reader", reads),
+		engine(t, "w1", "writer", writes(func(seen) string { return head + chunk(event1) + "\x00" })))
+	r, body, err := ask(t, c, request("chat", "", "{}"))
+	if r.StatusCode != 200 || body != event1 || err != io.ErrUnexpectedEOF {
+		t.Errorf("%s, %q, %v", r.Status, body, err)
+	}
+}
+
+// fasthttp does not look whether its client is there while a handler runs.
+func TestClientsCloseEndsTheAttemptAndLetsGo(t *testing.T) {
+	got, ended := make(chan seen, 9), make(chan string, 9)
+	c := start(t, engine(t, "r1", "reader", func(s seen) string {
+		ended <- s.Method
+		return reads(s)
+	}), engine(t, "w1", "writer", writes(func(s seen) string { got <- s; return "" })))
+	io.WriteString(c, request("order", "", "{}"))
+	s := <-got
+	c.Close()
+	if _, err := s.conn.Read(make([]byte, 1)); err != io.EOF && err == nil {
+		t.Error("the writer's connection stays open")
+	}
+	if a, b := <-ended, <-ended; a != "POST" || b != "DELETE" {
+		t.Errorf("the reader got %s, %s", a, b)
+	}
+}
+
+// An engine may close an idle connection; a request written to it would end as a reset.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	got := make(chan seen, 9)
+	c := start(t, engine(t, "r1", "reader", reads), engine(t, "w1", "writer", writes(func(s seen) string {
+		got <- s
+		return whole() + "\x00" // and closes it
+	})))
+	for range 3 {
+		r, body, err := ask(t, c, request("order", "", "{}"))
+		s := <-got
+		s.conn.Read(make([]byte, 1)) // until it is closed
+		if r.StatusCode != 200 || err != nil {
+			t.Fatalf("%s, %q, %v", r.Status, body, err)
+		}
+	}
+}
+
+func TestMalformedRequestsAreAnsweredWithTheReason(t *testing.T) {
+	tests := []struct {
+		old, new, reason string
+		code             int
+	}{
+		{"X-Txn: 9b1f\r\n", "", "X-Txn", 400},
+		{"X-Lane: chat\r\n", "", "X-Lane", 400},
+		{"X-Lane: chat", "X-Lane: nosuch", "nosuch", 400},
+		{"3.000", "soon", "X-Remaining", 400},
+		{"prompt_len=64", "prompt_len=-1", "prompt_len", 400},
+		{"Content-Length: 2\r\n", "Content-Length: x\r\n", "", 400},
+		{"Content-Length: 2\r\n", "Content-Length: 999999\r\n", "", 413},
+	}
+	for _, tt := range tests {
+		r, body, _ := ask(t, start(t), strings.Replace(request("chat", "", "{}"), tt.old, tt.new, 1))
+		if r.StatusCode != tt.code || !strings.Contains(body, tt.reason) {
+			t.Errorf("%q: %s, %q", tt.new, r.Status, body)
+		}
+	}
+}
+
+// Version 0 is a version: asking for the whole list in its place was answered
+// at once, and went round without a pause.
+func TestDiscoveryWatchesFromTheListInHand(t *testing.T) {
+	asked := make(chan string, 9)
+	list := func(version int, reset bool, state string) string {
+		b := fmt.Sprintf(`{"generation":%d,"reset":%v,"instances":[{"instanceId":"s","hostPort":"a:1","lifecycle":%q}]}`, version, reset, state)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(b), b)
+	}
+	answers := []string{"\x00", list(7, false, "draining"), "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", list(9, true, "up"), ""}
+	peer := engine(t, "d", "", func(s seen) string {
+		asked <- s.Target
+		a := answers[0]
+		answers = answers[1:]
+		return a
+	})
+	type news struct {
+		Form  ashwood.ListForm
+		State ashwood.ServerState
+	}
+	told := make(chan news, 9)
+	d := NewDiscovery(peer.Address, clock.System(), slog.New(slog.DiscardHandler), func(f ashwood.ListForm, l []ashwood.Server) {
+		told <- news{f, l[0].State}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go d.Run(ctx, 0, true)
+	got := []news{<-told, <-told}
+	var targets []string
+	for range 5 {
+		targets = append(targets, strings.TrimSuffix(<-asked, "&hold_ms=10000"))
+	}
+	want := []news{{ashwood.ListPatch, ashwood.StateFading}, {ashwood.ListWhole, ashwood.StateOn}}
+	const from = "/api/targets?from="
+	if diff := cmp.Diff(want, got) + cmp.Diff([]string{from + "0", from + "0", from + "7", from + "7", from + "9"}, targets); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -51,7 +51,7 @@
 func (discard) Printf(string, ...any) {}
 
 // Serve answers on a listener until Shutdown.
-func (s *Server) Serve(l net.Listener) error { return s.http.Serve(listener{l}) }
+func (s *Server) Serve(l net.Listener) error { return s.http.Serve(Listener(l)) }
 
 // Drain has each answer close its connection, so that clients go elsewhere.
 func (s *Server) Drain() { s.draining.Store(true) }
@@ -86,15 +86,17 @@
 		ctx.SetStatusCode(fasthttp.StatusOK)
 		return
 	}
+	Answer(ctx, s.gw)
+}
+
+// Answer routes a request in the platform's form and answers it. A streamed
+// answer goes on after Answer has returned, for as long as it lasts.
+func Answer(ctx *fasthttp.RequestCtx, gw *gateway.Gateway) {
 	req, err := parseRequest(&ctx.Request)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	s.serve(ctx, req)
-}
-
-func (s *Server) serve(ctx *fasthttp.RequestCtx, req *gateway.Request) {
 	client, gone := context.WithCancel(context.Background())
 	conn, _ := ctx.Conn().(*clientConn)
 	if conn != nil {
@@ -112,7 +114,7 @@
 			end()
 		}
 	}()
-	reply, err := s.gw.Serve(client, req)
+	reply, err := gw.Serve(client, req)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
--- /dev/null
+++ b/middleware/middleware_test.go
@@ -0,0 +1,119 @@
+package middleware
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"ashwood.example/ashwood"
+)
+
+func settings() ashwood.Settings {
+	return ashwood.Settings{
+		Kinds:   []ashwood.Kind{{Name: "r", Role: ashwood.RoleRead}, {Name: "w", Role: ashwood.RoleWrite}},
+		Classes: []ashwood.Class{{Name: "chat", Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Effect: ashwood.Pure}},
+	}
+}
+
+func engine(t *testing.T, kind string, h http.HandlerFunc) ashwood.Server {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return ashwood.Server{ID: ashwood.ServerID(kind), Kind: kind, State: ashwood.StateOn, Address: strings.TrimPrefix(s.URL, "http://")}
+}
+
+// start runs a Fiber application with the middleware and gives its address.
+func start(t *testing.T, list ...ashwood.Server) string {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	r, err := New(ctx, Config{Settings: settings(), Engines: list})
+	if err != nil {
+		t.Fatal(err)
+	}
+	app := fiber.New()
+	app.Get("/other", func(c fiber.Ctx) error { return c.SendString("other") })
+	app.Post("/v1/chat/completions", r.Handle)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go app.Listener(Listener(l), fiber.ListenConfig{DisableStartupMessage: true})
+	t.Cleanup(func() { app.Shutdown() })
+	return "http://" + l.Addr().String()
+}
+
+func post(t *testing.T, ctx context.Context, url string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, "POST", url+"/v1/chat/completions", strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for k, v := range map[string]string{"X-Txn": "9b1f", "X-Lane": "chat", "X-Remaining": "4.5", "X-Labels": "prompt_len=64"} {
+		req.Header.Set(k, v)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return res, string(body), err
+}
+
+func TestFiberApplicationRoutes(t *testing.T) {
+	url := start(t, engine(t, "r", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusAccepted)
+		io.WriteString(w, `{"cached_tokens":0}`)
+	}), engine(t, "w", func(w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, "data: one\n\n")
+		w.(http.Flusher).Flush()
+		io.WriteString(w, "data: [DONE]\n\n")
+	}))
+	res, body, err := post(t, context.Background(), url)
+	if err != nil || res.StatusCode != 200 || body != "data: one\n\ndata: [DONE]\n\n" {
+		t.Errorf("%v, %q, %v", res, body, err)
+	}
+	other, err := http.Get(url + "/other")
+	if err != nil || other.StatusCode != 200 {
+		t.Errorf("the application's own route: %v, %v", other, err)
+	}
+}
+
+// A client that leaves a Fiber application ends its attempt too.
+func TestLeavingClientIsNoticed(t *testing.T) {
+	reading, ended := make(chan struct{}), make(chan struct{})
+	url := start(t, engine(t, "r", func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		close(reading)
+		<-r.Context().Done()
+		close(ended)
+	}))
+	ctx, leave := context.WithCancel(context.Background())
+	go func() {
+		<-reading
+		leave()
+	}()
+	if _, _, err := post(t, ctx, url); err == nil {
+		t.Error("an answer came")
+	}
+	<-ended
+}
+
+func TestNewWantsEngines(t *testing.T) {
+	if _, err := New(context.Background(), Config{Settings: settings()}); err == nil {
+		t.Error("no error without engines and discovery")
+	}
+	if _, err := New(context.Background(), Config{Engines: []ashwood.Server{{}}}); err == nil {
+		t.Error("no error without settings")
+	}
+}
