--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 var (
 	ErrClientGone = errors.New("gateway: the client has left")
 	ErrTimedOut   = errors.New("gateway: no first token in time")
+	ErrStalled    = errors.New("gateway: the answer has stalled")
 )
 
 // Clock tells the time and calls back; see SystemClock.
@@ -135,6 +136,7 @@
 	releaseRetry = 50   // between tries of one at the end
 	releaseTotal = 2000 // of such tries
 	probeWait    = 250
+	stallWait    = 30000 // for the next piece of a begun answer; longer than engines hang
 )
 
 // Gateway routes requests.
@@ -155,6 +157,12 @@
 
 // Run runs the router's timers until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		g.guard(func() { g.tick(ctx) })
+	}
+}
+
+func (g *Gateway) tick(ctx context.Context) {
 	due := make(chan struct{}, 1)
 	for {
 		stop := func() bool { return true }
@@ -255,16 +263,16 @@
 	return ans, g.router.Report(req.ID, step.Attempt, ans.Result)
 }
 
-// spawn keeps a panic beside a request from ending the process.
-func (g *Gateway) spawn(f func()) {
-	go func() {
-		defer func() {
-			if p := recover(); p != nil {
-				g.log.Error("panic", "value", p, "stack", string(debug.Stack()))
-			}
-		}()
-		f()
+func (g *Gateway) spawn(f func()) { go g.guard(f) }
+
+// guard keeps a panic beside a request from ending the process.
+func (g *Gateway) guard(f func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			g.log.Error("panic", "value", p, "stack", string(debug.Stack()))
+		}
 	}()
+	f()
 }
 
 func (g *Gateway) probe(v ashwood.Server) {
@@ -286,9 +294,12 @@
 	ended   bool
 }
 
-// Next passes a piece on.
+// Next passes a piece on. A vanished engine's connection stays open and silent:
+// after a while the answer counts as broken.
 func (s *stream) Next() ([]byte, error) {
+	stop := s.g.clock.AfterFunc(stallWait, func() { s.cancel(ErrStalled) })
 	piece, err := s.Stream.Next()
+	stop()
 	switch {
 	case err == nil:
 	case errors.Is(err, io.EOF):
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -307,3 +307,31 @@
 		t.Errorf("sent more: %v", p.sends())
 	}
 }
+
+// stalls is a stream that hangs until its context ends.
+type stalls struct {
+	pieces
+	ctx     context.Context
+	waiting chan struct{}
+}
+
+func (s *stalls) Next() ([]byte, error) {
+	close(s.waiting)
+	<-s.ctx.Done()
+	return nil, context.Cause(s.ctx)
+}
+
+// A vanished engine says nothing: its stream must not be held for ever.
+func TestStalledStreamBreaks(t *testing.T) {
+	g, c := start(t, &peer{})
+	ctx, cancel := context.WithCancelCause(context.Background())
+	inner := &stalls{ctx: ctx, waiting: make(chan struct{})}
+	s := &stream{Stream: inner, g: g, ctx: context.Background(), id: "q", cancel: cancel}
+	go func() {
+		<-inner.waiting
+		c.Advance(stallWait)
+	}()
+	if _, err := s.Next(); !errors.Is(err, ErrStalled) {
+		t.Errorf("ended with %v", err)
+	}
+}
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -63,7 +63,10 @@
 func (s *Server) malformed(ctx *fasthttp.RequestCtx, err error) {
 	code := fasthttp.StatusBadRequest
 	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
 	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
+		code = fasthttp.StatusRequestTimeout
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		code = fasthttp.StatusRequestEntityTooLarge
 	case errors.As(err, &small):
@@ -79,14 +82,14 @@
 			ctx.Error("internal error", fasthttp.StatusInternalServerError)
 		}
 	}()
-	if s.draining.Load() {
-		ctx.SetConnectionClose()
-	}
 	if string(ctx.Path()) == readyPath && ctx.IsGet() {
 		ctx.SetStatusCode(fasthttp.StatusOK)
-		return
+	} else {
+		Answer(ctx, s.gw)
+	}
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
 	}
-	Answer(ctx, s.gw)
 }
 
 // Answer routes a request in the platform's form and answers it. A streamed
@@ -149,7 +152,12 @@
 	end    func()
 }
 
-func (b *body) Read(p []byte) (int, error) {
+func (b *body) Read(p []byte) (n int, err error) {
+	defer func() { // fasthttp calls this outside the handler, which recovers for itself
+		if v := recover(); v != nil {
+			err = fmt.Errorf("platform: panic in a stream: %v", v)
+		}
+	}()
 	if len(b.rest) == 0 {
 		piece, err := b.stream.Next()
 		if err != nil {
@@ -160,7 +168,7 @@
 		}
 		b.rest = piece
 	}
-	n := copy(p, b.rest)
+	n = copy(p, b.rest)
 	b.rest = b.rest[n:]
 	return n, nil
 }
