Tell the gRPC stories one at a time, so that their counts do not depend on chance

Cause: the test ran all 56 requests at once at two writers. Each refusal doubles the time that the module leaves a writer alone (shun in scheduler.go), so seven at one writer close it for 2 s. A request that the other writer has refused waits half of the release time for it, 500 ms, and is then refused, as it should be. Ruled out: a lost call or a second answer; the boxes' lists of calls are whole, and the release came at both boxes each time.

Now each story has boxes of its own and one request at a time, with the exact counts; a second test plays all at once and asserts only what holds whatever meets: no order written again after it may have run, nothing left held. The test of the deadline runs on a clock moved by hand, since 300 ms may pass on a busy machine before a box has the request.

--- a/internal/grpcfront/grpcfront_test.go
+++ b/internal/grpcfront/grpcfront_test.go
@@ -169,6 +169,11 @@
 
 // start brings up two readers, two writers and a gateway with its front.
 func start(t *testing.T) (ashwoodpb.InferenceClient, *fleet, *gateway.Gateway) {
+	t.Helper()
+	return startAt(t, clock.System())
+}
+
+func startAt(t *testing.T, c clock.Clock) (ashwoodpb.InferenceClient, *fleet, *gateway.Gateway) {
 	t.Helper()
 	f := &fleet{calls: map[string][]string{}, rooms: map[string]int{}, canceled: make(chan string, 9), waiting: make(chan string, 9),
 		freed: make(chan struct{}, 999)}
@@ -181,7 +186,7 @@
 		kind := map[byte]string{'r': "reader", 'w': "writer"}[name[0]]
 		list = append(list, ashwood.Server{ID: ashwood.ServerID(name), Kind: kind, State: ashwood.StateOn, Address: l.Addr().String()})
 	}
-	log, c := slog.New(slog.DiscardHandler), clock.System()
+	log := slog.New(slog.DiscardHandler)
 	f.boxes = NewBoxes(settings(), c)
 	t.Cleanup(f.boxes.Close)
 	gw, err := gateway.New(settings(), 1, f.boxes, c, log)
@@ -218,19 +223,48 @@
 	return tokens, err
 }
 
-func TestEachRequestGetsOneAnswerAndOrdersRunOnce(t *testing.T) {
-	client, f, _ := start(t)
-	type result struct {
-		Tokens int
-		Code   codes.Code
-		Reads  int
-		Writes int
+// result is what a call's client and the boxes saw of it.
+type result struct {
+	Tokens int
+	Code   codes.Code
+	Reads  int
+	Writes int
+}
+
+// observe makes a call and counts what came of it.
+func (f *fleet) observe(client ashwoodpb.InferenceClient, id, class, session string) (got result, calls []string) {
+	tokens, err := ask(client, &ashwoodpb.GenerateRequest{RequestId: id, Class: class, Session: session, PromptTokens: 64, MaxTokens: 9})
+	if got.Tokens = len(tokens); err != io.EOF {
+		got.Code = status.Code(err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.calls[id] {
+		switch c[3:] {
+		case "read":
+			got.Reads++
+		case "write":
+			got.Writes++
+		}
 	}
+	return got, f.calls[id]
+}
+
+// released waits until nothing is held at any box.
+func (f *fleet) released(t *testing.T) {
+	t.Helper()
+	for f.pinned() > 0 {
+		select {
+		case <-f.freed:
+		case <-time.After(20 * time.Second):
+			t.Fatal("boxes still hold something")
+		}
+	}
+}
+
+var stories = func() []story {
 	whole := result{3, codes.OK, 1, 1}
-	tests := []struct {
-		session     string
-		chat, order result
-	}{
+	return []story{
 		{"plain", whole, whole},
 		{"removed", whole, whole}, // the list drops the box in mid-answer, which still ends whole
 		{"read error", result{3, codes.OK, 2, 1}, result{3, codes.OK, 2, 1}},
@@ -239,46 +273,58 @@
 		{"writer error", result{0, codes.Unavailable, 1, 5}, result{0, codes.Internal, 1, 1}},
 		{"error after first", result{1, codes.DataLoss, 1, 1}, result{1, codes.DataLoss, 1, 1}},
 	}
-	var all sync.WaitGroup
-	for _, tt := range tests {
-		for class, want := range map[string]result{"case-chat": tt.chat, "send-order": tt.order} {
-			for i := range 4 {
-				all.Go(func() {
-					id := fmt.Sprint(tt.session, class, i)
-					tokens, err := ask(client, &ashwoodpb.GenerateRequest{RequestId: id, Class: class, Session: tt.session,
-						PromptTokens: 64, MaxTokens: 9})
-					got := result{Tokens: len(tokens)}
-					if err != io.EOF {
-						got.Code = status.Code(err)
-					}
-					f.mu.Lock()
-					defer f.mu.Unlock()
-					for _, c := range f.calls[id] {
-						switch c[3:] {
-						case "read":
-							got.Reads++
-						case "write":
-							got.Writes++
-						}
-					}
-					if class == "case-chat" && tt.session == "writer error" {
-						got.Writes = want.Writes // as often as there was time for: repeating is harmless
-					}
-					if diff := cmp.Diff(want, got); diff != "" {
-						t.Errorf("%s, %s: calls %v, error %v\n%s", class, tt.session, f.calls[id], err, diff)
-					}
-				})
+}()
+
+// story is a session as the boxes play it and what a request of each class sees.
+type story struct {
+	session     string
+	chat, order result
+}
+
+// Each story has boxes of its own and one request at a time: what other
+// requests meet at a box decides where the next one goes, or whether it goes.
+func TestEachRequestGetsOneAnswer(t *testing.T) {
+	for _, tt := range stories {
+		t.Run(tt.session, func(t *testing.T) {
+			client, f, _ := start(t)
+			check := func(id, class string, want result) {
+				got, calls := f.observe(client, id, class, tt.session)
+				if class == "case-chat" && tt.session == "writer error" {
+					got.Writes = want.Writes // as often as there was time for: repeating is harmless
+				}
+				if diff := cmp.Diff(want, got); diff != "" {
+					t.Errorf("%s: calls %v\n%s", class, calls, diff)
+				}
 			}
-		}
+			for i := range 2 {
+				check(fmt.Sprint("chat", i), "case-chat", tt.chat)
+				check(fmt.Sprint("order", i), "send-order", tt.order)
+			}
+			f.released(t)
+		})
 	}
-	all.Wait()
-	for f.pinned() > 0 {
-		select {
-		case <-f.freed:
-		case <-time.After(20 * time.Second):
-			t.Fatalf("still held: %v", f.rooms)
+}
+
+// All stories at once at the same boxes: no order is written again after it may
+// have run, whoever is refused meanwhile, and nothing stays held.
+func TestOrdersRunOnceAmongOthers(t *testing.T) {
+	client, f, _ := start(t)
+	var all sync.WaitGroup
+	for _, tt := range stories {
+		for i := range 8 {
+			all.Go(func() {
+				got, calls := f.observe(client, fmt.Sprint(tt.session, i), "send-order", tt.session)
+				if got.Writes > tt.order.Writes {
+					t.Errorf("%s: calls %v", tt.session, calls)
+				}
+				if got.Code == codes.OK && got.Tokens != tt.order.Tokens {
+					t.Errorf("%s: %d tokens of an answer that ended well, want %d", tt.session, got.Tokens, tt.order.Tokens)
+				}
+			})
 		}
 	}
+	all.Wait()
+	f.released(t)
 }
 
 func TestCancelMidAnswerEndsTheBoxsStreamAndSendsNothingMore(t *testing.T) {
@@ -309,15 +355,20 @@
 }
 
 func TestDeadlineWithoutATokenIsOneFailureForAnOrder(t *testing.T) {
-	client, f, _ := start(t)
-	_, err := ask(client, &ashwoodpb.GenerateRequest{RequestId: "q", Class: "send-order", Session: "silent", PromptTokens: 64, FirstTokenMs: 300})
-	if status.Code(err) != codes.DeadlineExceeded {
+	c := clock.NewManual(0)
+	client, f, _ := startAt(t, c)
+	end := make(chan error, 1)
+	go func() {
+		_, err := ask(client, &ashwoodpb.GenerateRequest{RequestId: "q", Class: "send-order", Session: "silent", PromptTokens: 64, FirstTokenMs: 300})
+		end <- err
+	}()
+	<-f.waiting
+	c.Advance(300)
+	if err := <-end; status.Code(err) != codes.DeadlineExceeded {
 		t.Errorf("got %v, want DEADLINE_EXCEEDED", err)
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if writes := len(f.waiting); writes != 1 {
-		t.Errorf("%d writes, want 1; calls %v", writes, f.calls["q"])
+	if len(f.waiting) > 0 {
+		t.Errorf("written again; calls %v", f.calls["q"])
 	}
 }
 
