Count a burst of refusals as one, so that it closes an engine for one pause only

Seen: in the gRPC test that played all stories at once, a writer refused seven requests that were sent together and was then left alone for 2 s. Requests that the other writer had refused waited 500 ms for it, half the release time, and were given up, although it would have taken them 40 ms later.

Lines at fault: shun in scheduler.go doubled the pause with every refusal, also with those of attempts sent before the pause began, which tell nothing new. Now a refusal that comes during the pause changes nothing.

The new small test saw the pauses 40 ms to 2 s; it sees 40 ms alone now. The test of growing pauses takes one refusal after each pause's end.

--- a/scheduler.go
+++ b/scheduler.go
@@ -487,6 +487,9 @@
 // shun leaves a full or dead server alone for a while that doubles until it takes
 // a request: it answers at once, and attempts would be burnt on it.
 func (s *Scheduler) shun(v *server) {
+	if s.now < v.shunUntil { // sent before the pause: a burst of refusals tells no more than one
+		return
+	}
 	v.shun = min(max(v.shun*2, retryPause*time.Duration(max(s.set.Nodes/2, 1))), backoffMax/4)
 	v.shunUntil = s.now + v.shun
 }
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -622,6 +622,8 @@
 	n := newNode(t, settings(), reader("r1"), writer("w1", 0))
 	last := time.Duration(0)
 	for i := 0; i < 4; i++ {
+		n.now = max(n.now, n.s.servers["r1"].shunUntil)
+		n.s.now = n.now
 		n.s.shun(n.s.servers["r1"])
 		pause := n.s.servers["r1"].shunUntil - n.now
 		if pause <= last {
@@ -638,6 +640,25 @@
 	n.sentTo("r1")
 }
 
+// Refusals of what was sent before the first of them came, as in a burst, are
+// one sign and not many: seven at once used to close a writer for two seconds,
+// longer than a read state may wait for it.
+func TestABurstOfRefusalsIsOnePause(t *testing.T) {
+	n := newNode(t, settings(), reader("r1"), writer("w1", 0))
+	pauses := map[time.Duration]bool{}
+	for i := range 7 {
+		n.ask(fmt.Sprint(i), uint64(i), 0)
+		n.sentTo("r1")
+	}
+	for i := range 7 {
+		n.end(fmt.Sprint(i), 0, "r1", TurnedAway)
+		pauses[n.s.servers["r1"].shunUntil-n.now] = true
+	}
+	if len(pauses) != 1 || pauses[0] {
+		t.Errorf("pauses %v, want the first alone", pauses)
+	}
+}
+
 func fail(n *node, v string, times int) {
 	for i := 0; i < times; i++ {
 		n.s.now = n.now
