Secure the gRPC front, the boxes and the xDS server with certificates if wanted

It now takes [grpc.tls], [grpc.box_tls] and [grpc.xds.tls]: PEM files of a certificate, its key and a CA, with which a listener wants clients' certificates. internal/config reads and checks them at the start and names the faulty key; grpcfront and xds get finished credentials.

Five wrong tables each name their key. The platform's protocol is untouched.

--- a/cmd/ashwood/main.go
+++ b/cmd/ashwood/main.go
@@ -135,7 +135,7 @@
 
 // openGRPC sets up the gRPC front, with a list of boxes of its own.
 func openGRPC(cfg config.Config, op config.GRPC, c clock.Clock, log *slog.Logger) (front, error) {
-	boxes := grpcfront.NewBoxes(cfg.Settings, c)
+	boxes := grpcfront.NewBoxes(cfg.Settings, op.BoxCredentials, c)
 	gw, err := gateway.New(cfg.Settings, cfg.Seed, boxes, c, log)
 	if err != nil {
 		return front{}, fmt.Errorf("settings: %w", err)
@@ -155,7 +155,7 @@
 		})
 		go func() { log.Error("xds", "err", follow.Run(context.Background())) }()
 	}
-	s := grpcfront.NewServer(gw, cfg.Settings, c, log)
+	s := grpcfront.NewServer(gw, cfg.Settings, op.Credentials, c, log)
 	return front{
 		serve: func() error { return s.Serve(l) }, drain: s.Drain,
 		shutdown: func() error { s.Shutdown(); return nil },
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"ashwood.example/ashwood"
 )
@@ -76,11 +77,14 @@
 	}
 	const grpc = "[grpc]\nlisten = \"127.0.0.1:1\"\n"
 	o, err := load(grpc + "[[grpc.boxes]]\nid = \"b\"\naddress = \"127.0.0.1:2\"\nkind = \"m2\"\n")
-	want := Operator{&GRPC{Listen: "127.0.0.1:1", Boxes: []ashwood.Server{
+	want := Operator{GRPC: &GRPC{Listen: "127.0.0.1:1", Boxes: []ashwood.Server{
 		{ID: "b", Address: "127.0.0.1:2", Kind: "m2", State: ashwood.StateOn, Weight: 1}}}}
-	if diff := cmp.Diff(want, o); diff != "" || err != nil {
+	if diff := cmp.Diff(want, o, cmpopts.IgnoreFields(GRPC{}, "Credentials", "BoxCredentials")); diff != "" || err != nil {
 		t.Error(diff, err)
 	}
+	if a, b := o.GRPC.Credentials.Info(), o.GRPC.BoxCredentials.Info(); a.SecurityProtocol != "insecure" || b != a {
+		t.Errorf("without files: %v, %v", a, b)
+	}
 	if o, err := LoadOperator(none, c); err != nil || o.GRPC != nil {
 		t.Errorf("without a file: %+v, %v", o, err)
 	}
@@ -91,6 +95,11 @@
 		grpc + "[grpc.xds]\nserver='x'": "grpc.xds.server",
 		grpc + "[[grpc.boxes]]\nid='b'\naddress='127.0.0.1:2'\nkind='odd'": "grpc.boxes[0].kind",
 		grpc + "[[grpc.boxes]]\naddress='127.0.0.1:2'":                     "grpc.boxes[0].id",
+		grpc + "[grpc.tls]\nca='x'":                                        "grpc.tls.certificate",
+		grpc + "[grpc.tls]\ncertificate='x'":                               "grpc.tls.key",
+		grpc + "[grpc.tls]\ncertificate='x'\nkey='x'\nserver_name='x'":     "grpc.tls.server_name",
+		grpc + "[grpc.box_tls]\nca='/no such file'":                        "grpc.box_tls.ca",
+		grpc + "[grpc.xds]\nserver='a:1'\n[grpc.xds.tls]\nca='/dev/null'":  "grpc.xds.tls.ca",
 	} {
 		if _, err := load(text); err == nil || !strings.Contains(err.Error(), key) {
 			t.Errorf("%s: %v", key, err)
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/BurntSushi/toml"
+	"google.golang.org/grpc/credentials"
 
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/internal/xds"
@@ -20,9 +21,11 @@
 
 // GRPC sets up the gRPC front. Its boxes come from a list or over xDS.
 type GRPC struct {
-	Listen string
-	Boxes  []ashwood.Server
-	XDS    *xds.Config
+	Listen         string
+	Credentials    credentials.TransportCredentials // shown to clients
+	Boxes          []ashwood.Server
+	BoxCredentials credentials.TransportCredentials // shown to boxes
+	XDS            *xds.Config
 }
 
 // LoadOperator reads the file that ASHWOOD_OPERATOR names, if it does.
@@ -42,7 +45,12 @@
 				Cell    int     `toml:"cell"`
 				Weight  float64 `toml:"weight"`
 			} `toml:"boxes"`
-			XDS *xds.Config `toml:"xds"`
+			XDS *struct {
+				xds.Config
+				TLS *tlsFiles `toml:"tls"`
+			} `toml:"xds"`
+			TLS    *tlsFiles `toml:"tls"`
+			BoxTLS *tlsFiles `toml:"box_tls"`
 		} `toml:"grpc"`
 	}
 	md, err := toml.DecodeFile(path, &in)
@@ -55,11 +63,17 @@
 	if in.GRPC == nil {
 		return Operator{}, nil
 	}
-	g := &GRPC{Listen: in.GRPC.Listen, XDS: in.GRPC.XDS}
+	g := &GRPC{Listen: in.GRPC.Listen}
 	if err := address("grpc.listen", g.Listen); err != nil {
 		return Operator{}, err
 	}
-	if (len(in.GRPC.Boxes) > 0) == (g.XDS != nil) {
+	if g.Credentials, err = in.GRPC.TLS.server("grpc.tls"); err != nil {
+		return Operator{}, err
+	}
+	if g.BoxCredentials, err = in.GRPC.BoxTLS.client("grpc.box_tls"); err != nil {
+		return Operator{}, err
+	}
+	if (len(in.GRPC.Boxes) > 0) == (in.GRPC.XDS != nil) {
 		return Operator{}, errors.New("config: grpc.boxes and grpc.xds: one of the two is wanted")
 	}
 	for i, b := range in.GRPC.Boxes {
@@ -81,10 +95,14 @@
 			Weight: b.Weight, State: ashwood.StateOn,
 		})
 	}
-	if x := g.XDS; x != nil {
+	if x := in.GRPC.XDS; x != nil {
 		if err := address("grpc.xds.server", x.Server); err != nil {
 			return Operator{}, err
 		}
+		if x.Credentials, err = x.TLS.client("grpc.xds.tls"); err != nil {
+			return Operator{}, err
+		}
+		g.XDS = &x.Config
 		if x.Node == "" {
 			x.Node = c.Name
 		}
--- a/internal/grpcfront/boxes.go
+++ b/internal/grpcfront/boxes.go
@@ -14,7 +14,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/connectivity"
-	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/stats"
@@ -46,6 +46,7 @@
 // its calls.
 type Boxes struct {
 	clock   clock.Clock
+	creds   credentials.TransportCredentials
 	connect float64
 
 	mu    sync.Mutex
@@ -53,12 +54,12 @@
 }
 
 // NewBoxes makes a transport.
-func NewBoxes(set ashwood.Settings, c clock.Clock) *Boxes {
+func NewBoxes(set ashwood.Settings, creds credentials.TransportCredentials, c clock.Clock) *Boxes {
 	connect := clock.Millis(set.Limits.ConnectTimeout)
 	if connect <= 0 {
 		connect = defaultConnect
 	}
-	return &Boxes{clock: c, connect: connect, conns: map[string]*grpc.ClientConn{}}
+	return &Boxes{clock: c, creds: creds, connect: connect, conns: map[string]*grpc.ClientConn{}}
 }
 
 // Keep forgets the boxes that a whole list no longer names. Their connections
@@ -131,7 +132,7 @@
 	// The library may send a call again only where the box has not taken it up;
 	// retries by policy are off.
 	cc, err := grpc.NewClient("passthrough:///"+addr,
-		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry(),
+		grpc.WithTransportCredentials(b.creds), grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(), grpc.WithStatsHandler(trailerWatch{}), grpc.WithIdleTimeout(idleAfter),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingEvery, Timeout: pingWait}),
 		grpc.WithConnectParams(grpc.ConnectParams{
--- a/internal/grpcfront/grpcfront_test.go
+++ b/internal/grpcfront/grpcfront_test.go
@@ -187,7 +187,7 @@
 		list = append(list, ashwood.Server{ID: ashwood.ServerID(name), Kind: kind, State: ashwood.StateOn, Address: l.Addr().String()})
 	}
 	log := slog.New(slog.DiscardHandler)
-	f.boxes = NewBoxes(settings(), c)
+	f.boxes = NewBoxes(settings(), insecure.NewCredentials(), c)
 	t.Cleanup(f.boxes.Close)
 	gw, err := gateway.New(settings(), 1, f.boxes, c, log)
 	if err != nil {
@@ -197,7 +197,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go gw.Run(ctx)
-	front := NewServer(gw, settings(), c, log)
+	front := NewServer(gw, settings(), insecure.NewCredentials(), c, log)
 	l := listen(t)
 	go front.Serve(l)
 	t.Cleanup(front.grpc.Stop)
--- a/internal/grpcfront/server.go
+++ b/internal/grpcfront/server.go
@@ -12,6 +12,7 @@
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/health"
 	"google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/keepalive"
@@ -41,12 +42,12 @@
 }
 
 // NewServer makes a server that routes through gw.
-func NewServer(gw *gateway.Gateway, set ashwood.Settings, c clock.Clock, log *slog.Logger) *Server {
+func NewServer(gw *gateway.Gateway, set ashwood.Settings, creds credentials.TransportCredentials, c clock.Clock, log *slog.Logger) *Server {
 	s := &Server{gw: gw, clock: c, log: log, classes: map[string]float64{}, health: health.NewServer()}
 	for _, class := range set.Classes {
 		s.classes[class.Name] = clock.Millis(class.Deadline)
 	}
-	s.grpc = grpc.NewServer(grpc.ForceServerCodecV2(newCodec()), grpc.MaxRecvMsgSize(maxMessage),
+	s.grpc = grpc.NewServer(grpc.Creds(creds), grpc.ForceServerCodecV2(newCodec()), grpc.MaxRecvMsgSize(maxMessage),
 		grpc.MaxConcurrentStreams(maxStreams), grpc.StreamInterceptor(s.recovered),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 5 * time.Minute, Time: time.Minute, Timeout: 5 * time.Second}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}))
--- a/internal/xds/xds.go
+++ b/internal/xds/xds.go
@@ -22,7 +22,7 @@
 	rpcstatus "google.golang.org/genproto/googleapis/rpc/status"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/protobuf/types/known/anypb"
 	"google.golang.org/protobuf/types/known/structpb"
@@ -55,6 +55,8 @@
 	Server   string   `toml:"server"`   // host:port of the management server
 	Node     string   `toml:"node"`     // id of this node; by default the gateway's name
 	Clusters []string `toml:"clusters"` // names of clusters; none = all that the server has
+
+	Credentials credentials.TransportCredentials `toml:"-"`
 }
 
 // Client follows a management server.
@@ -87,7 +89,7 @@
 // Run follows the server until ctx ends. While the server is gone, the list in
 // hand stays.
 func (c *Client) Run(ctx context.Context) error {
-	cc, err := grpc.NewClient("passthrough:///"+c.cfg.Server, grpc.WithTransportCredentials(insecure.NewCredentials()),
+	cc, err := grpc.NewClient("passthrough:///"+c.cfg.Server, grpc.WithTransportCredentials(c.cfg.Credentials),
 		grpc.WithDisableServiceConfig(), grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingEvery, Timeout: pingWait}))
 	if err != nil {
 		return fmt.Errorf("xds: %s: %w", c.cfg.Server, err)
--- a/internal/xds/xds_test.go
+++ b/internal/xds/xds_test.go
@@ -13,6 +13,7 @@
 	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
 	"github.com/google/go-cmp/cmp"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
 	"google.golang.org/protobuf/types/known/structpb"
@@ -111,7 +112,7 @@
 	lists := make(chan []ashwood.Server, 9)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	c := New(Config{Server: l.Addr().String(), Node: "n"}, clock.System(), slog.New(slog.DiscardHandler),
+	c := New(Config{Server: l.Addr().String(), Node: "n", Credentials: insecure.NewCredentials()}, clock.System(), slog.New(slog.DiscardHandler),
 		func(_ ashwood.ListForm, list []ashwood.Server) { lists <- list })
 	go c.Run(ctx)
 	k := <-m.streams
