--- a/cmd/ashwood/main_test.go
+++ b/cmd/ashwood/main_test.go
@@ -121,8 +121,9 @@
 	return fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"a","machineType":%q,"cell":0,"lifecycle":"up","weight":1,"startedAtMs":0}`, id, addr, kind)
 }
 
-func TestServesAndFinishesAfterSIGTERM(t *testing.T) {
-	writing, finish := make(chan struct{}), make(chan struct{})
+// engines starts a reader and a writer, which calls half in the middle of each
+// answer, and gives discovery's list of them.
+func engines(t *testing.T, half func()) (list string) {
 	reader := serve(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodDelete {
 			w.WriteHeader(http.StatusNoContent)
@@ -138,18 +139,17 @@
 		}
 		io.WriteString(w, "data: one\n\n")
 		w.(http.Flusher).Flush()
-		close(writing)
-		<-finish
+		half()
 		io.WriteString(w, "data: [DONE]\n\n")
 	})
-	listen := freePort(t)
-	cmd := start(t, fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
-		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":%s}`, listen,
-		discovery(t, `{"generation":3,"reset":true,"instances":[`+instance("r", reader, "prefill")+","+instance("w", writer, "decode")+`]}`),
-		settings), "")
-	if r, err := http.Get("http://" + listen + "/-/ready"); err != nil || r.StatusCode != 200 {
-		t.Fatalf("%v, %v", r, err)
-	}
+	return `{"generation":3,"reset":true,"instances":[` + instance("r", reader, "prefill") + "," + instance("w", writer, "decode") + `]}`
+}
+
+const answer = "data: one\n\ndata: [DONE]\n\n"
+
+// order sends one; its answer has begun.
+func order(t *testing.T, listen string) *http.Response {
+	t.Helper()
 	req, err := http.NewRequest("POST", "http://"+listen+"/v1/chat/completions", strings.NewReader("{}"))
 	if err != nil {
 		t.Fatal(err)
@@ -161,13 +161,44 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { r.Body.Close() })
+	return r
+}
+
+func configuration(listen, discovery, known string) string {
+	return fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","known":%s,
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":%s}`, listen, discovery, known, settings)
+}
+
+// Discovery may be silent from the start on: the list in hand has to do.
+func TestServesFromTheKnownListWhileDiscoveryIsSilent(t *testing.T) {
+	silent := serve(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	listen := freePort(t)
+	start(t, configuration(listen, silent, engines(t, func() {})), "")
+	r := order(t, listen)
+	if body, err := io.ReadAll(r.Body); r.StatusCode != 200 || string(body) != answer || err != nil {
+		t.Errorf("%s, %q, %v", r.Status, body, err)
+	}
+}
+
+func TestServesAndFinishesAfterSIGTERM(t *testing.T) {
+	writing, finish := make(chan struct{}), make(chan struct{})
+	listen := freePort(t)
+	cmd := start(t, configuration(listen, discovery(t, engines(t, func() {
+		close(writing)
+		<-finish
+	})), "null"), "")
+	if r, err := http.Get("http://" + listen + "/-/ready"); err != nil || r.StatusCode != 200 {
+		t.Fatalf("%v, %v", r, err)
+	}
+	r := order(t, listen)
 	<-writing
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
 	close(finish)
 	body, err := io.ReadAll(r.Body)
-	if r.StatusCode != 200 || string(body) != "data: one\n\ndata: [DONE]\n\n" || err != nil {
+	if r.StatusCode != 200 || string(body) != answer || err != nil {
 		t.Errorf("%s, %q, %v", r.Status, body, err)
 	}
 	if err := cmd.Wait(); err != nil {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -116,6 +116,12 @@
 
 // start brings up a gateway with these engines and gives a connection to it.
 func start(t *testing.T, list ...ashwood.Server) net.Conn {
+	t.Helper()
+	_, addr := serve(t, list...)
+	return dial(t, addr)
+}
+
+func serve(t *testing.T, list ...ashwood.Server) (s *Server, addr string) {
 	t.Helper()
 	log, c := slog.New(slog.DiscardHandler), clock.System()
 	gw, err := gateway.New(settings(), 1, NewEngines(settings(), c, 50), c, log)
@@ -127,14 +133,20 @@
 	t.Cleanup(cancel)
 	go gw.Run(ctx)
 	l := listen(t)
-	go NewServer(gw, log, 50).Serve(l)
-	c2, err := net.Dial("tcp", l.Addr().String())
+	s = NewServer(gw, log, 50)
+	go s.Serve(l)
+	return s, l.Addr().String()
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { c2.Close() })
-	c2.SetDeadline(time.Now().Add(20 * time.Second))
-	return c2
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c
 }
 
 func request(class, extra, body string) string {
@@ -281,6 +293,45 @@
 	}
 }
 
+// Clients keep coming for a while after SIGTERM, over open connections and new
+// ones. They are served and told to close, and what runs at the end is finished.
+func TestDrainingServerTakesWhatComesAndFinishesIt(t *testing.T) {
+	writing, finish := make(chan struct{}, 9), make(chan struct{})
+	s, addr := serve(t, engine(t, "r1", "reader", reads), engine(t, "w1", "writer", writes(func(seen) string {
+		writing <- struct{}{}
+		<-finish
+		return whole()
+	})))
+	open := dial(t, addr)
+	s.Drain()
+	type answer struct {
+		code  int
+		body  string
+		close bool
+	}
+	answers, ended := make(chan answer, 2), make(chan error, 1)
+	for _, c := range []net.Conn{open, dial(t, addr)} {
+		id := fmt.Sprintf("X-Txn: %p", c)
+		go func() {
+			r, body, err := ask(t, c, strings.Replace(request("order", "", "{}"), "X-Txn: 9b1f", id, 1))
+			if err != nil {
+				t.Error(err)
+			}
+			answers <- answer{r.StatusCode, body, r.Close}
+		}()
+		<-writing
+	}
+	go func() { ended <- s.Shutdown(context.Background()) }()
+	close(finish)
+	want := answer{200, event1 + ending, true}
+	if a, b := <-answers, <-answers; a != want || b != want {
+		t.Errorf("got %+v and %+v, want %+v", a, b, want)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // Version 0 is a version: asking for the whole list in its place was answered
 // at once, and went round without a pause.
 func TestDiscoveryWatchesFromTheListInHand(t *testing.T) {
--- a/storm_test.go
+++ b/storm_test.go
@@ -66,8 +66,14 @@
 }
 
 // TestStorm throws legal and stray events at the module and checks the rules.
+// One goroutine does it all, so that the race detector, which makes it ten
+// times slower, sees enough in a short run.
 func TestStorm(t *testing.T) {
-	for seed := int64(1); seed <= 20; seed++ {
+	seeds := int64(20)
+	if testing.Short() {
+		seeds = 2
+	}
+	for seed := int64(1); seed <= seeds; seed++ {
 		storm(t, seed)
 	}
 }
