Log the addresses that are listened on, so that tests need not guess free ports

Found: the integration tests closed a free port and had the program listen on it, while other packages' tests open ports at the same time; tries of 3 s and connects of 40 or 250 ms, which a stalled machine may exceed.

Ruled out: the tests on a clock moved by hand (gateway, the gRPC deadline).

--- a/cmd/ashwood/main.go
+++ b/cmd/ashwood/main.go
@@ -68,6 +68,7 @@
 
 	c := clock.System()
 	fronts := make([]front, 0, 2)
+	addrs := []any{"name", cfg.Name}
 	if op.GRPC != nil {
 		f, err := openGRPC(cfg, *op.GRPC, c, log)
 		if err != nil {
@@ -85,7 +86,10 @@
 	for _, f := range fronts {
 		go func() { ended <- f.serve() }()
 	}
-	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen)
+	for _, f := range fronts {
+		addrs = append(addrs, f.name, f.addr)
+	}
+	log.Info("serving", addrs...)
 	select {
 	case err := <-ended:
 		return errors.Join(errors.New("a server has ended"), err)
@@ -106,6 +110,8 @@
 
 // front is one of the program's servers.
 type front struct {
+	name     string
+	addr     net.Addr
 	serve    func() error
 	drain    func()       // clients are to go elsewhere
 	shutdown func() error // take nothing more, finish what was taken
@@ -128,7 +134,7 @@
 	go platform.NewDiscovery(cfg.Discovery, c, log, gw.Update).Run(context.Background(), cfg.Known.Generation, known)
 	s := platform.NewServer(gw, log, int(sockets*clientShare))
 	return front{
-		serve: func() error { return s.Serve(l) }, drain: s.Drain,
+		name: "listen", addr: l.Addr(), serve: func() error { return s.Serve(l) }, drain: s.Drain,
 		shutdown: func() error { return s.Shutdown(context.Background()) },
 	}, nil
 }
@@ -157,7 +163,7 @@
 	}
 	s := grpcfront.NewServer(gw, cfg.Settings, op.Credentials, c, log)
 	return front{
-		serve: func() error { return s.Serve(l) }, drain: s.Drain,
+		name: "grpc", addr: l.Addr(), serve: func() error { return s.Serve(l) }, drain: s.Drain,
 		shutdown: func() error { s.Shutdown(); return nil },
 	}, nil
 }
