Test the pool's limits, probes, what a failed write proves, and the gRPC drain

Seen: a coverage run left untouched the pool's closing of idle connections and its limit, both transports' probes, the table of what an attempt without an answer proves, and the gRPC front's drain.

All pass as the code stood: nothing was at fault.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -27,6 +27,8 @@
 	hanging chan struct{}            // gets a value when an attempt begins to hang
 	freed   chan string              // gets each engine told to let go
 	refuse  map[ashwood.ServerID]int // releases that fail to connect
+	probed  chan string              // gets each engine asked for its load
+	nodes   int                      // gateways, one by default; with more, loads are asked for
 	asked   chan struct{}            // gets a value when a place is asked for
 	answer  chan struct{}            // if set, a place is answered when it closes
 	before  func(ashwood.Server)     // called when an attempt is about to be written
@@ -92,7 +94,8 @@
 	return nil
 }
 
-func (p *peer) Probe(context.Context, ashwood.Server) (ashwood.Status, ashwood.Report) {
+func (p *peer) Probe(_ context.Context, v ashwood.Server) (ashwood.Status, ashwood.Report) {
+	p.probed <- string(v.ID)
 	return ashwood.Served, nil
 }
 
@@ -130,14 +133,15 @@
 func startAt(t *testing.T, p *peer, c Clock) *Gateway {
 	t.Helper()
 	p.hanging, p.freed, p.asked = make(chan struct{}, 9), make(chan string, 9), make(chan struct{}, 9)
+	p.probed = make(chan string, 9)
 	class := func(name string, e ashwood.Effect) ashwood.Class {
 		return ashwood.Class{Name: name, Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Effect: e}
 	}
 	g, err := New(ashwood.Settings{
-		Nodes: 1, Ahead: true,
+		Nodes: max(p.nodes, 1), Ahead: true, Reports: ashwood.ReportInline,
 		Kinds:   []ashwood.Kind{{Name: "r", Role: ashwood.RoleRead, MemoryTokens: 1e5}, {Name: "w", Role: ashwood.RoleWrite, MemoryTokens: 1e5}},
 		Classes: []ashwood.Class{class("chat", ashwood.Pure), class("order", ashwood.SideEffect)},
-		Limits:  ashwood.Limits{MaxAttempts: 6, Cancel: true, RetryAfter: true, MaxRetryAfter: 500 * time.Millisecond},
+		Limits:  ashwood.Limits{MaxAttempts: 6, Cancel: true, Probes: p.nodes > 1, RetryAfter: true, MaxRetryAfter: 500 * time.Millisecond},
 	}, 1, p, c, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
@@ -206,6 +210,28 @@
 	}
 }
 
+// A choice that waits for a load goes on after 5 ms without the news.
+func TestProbesAreCarriedOutBesideTheRequest(t *testing.T) {
+	p := &peer{nodes: 4, place: PlaceHeld, answers: map[ashwood.ServerID][]Answer{
+		"r1": {answer(ashwood.Parsed)}, "w1": {streams(io.EOF, "a")}}}
+	g, c := start(t, p)
+	end := make(chan Reply, 1)
+	go func() {
+		r, _ := g.Serve(context.Background(), request("order"))
+		end <- r
+	}()
+	if v := <-p.probed; v != "r1" {
+		t.Errorf("probed %s", v)
+	}
+	if sends := p.sends(); len(sends) > 0 {
+		t.Errorf("sent already: %v", sends)
+	}
+	c.Advance(5)
+	if r := <-end; r.Kind != Served {
+		t.Errorf("kind %v", r.Kind)
+	}
+}
+
 // Once an order may have run, one failure follows and nothing is sent again;
 // what is proved never to have run goes on.
 func TestOrderIsSentAgainOnlyOnProof(t *testing.T) {
--- a/internal/grpcfront/grpcfront_test.go
+++ b/internal/grpcfront/grpcfront_test.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
@@ -43,6 +44,9 @@
 	last     *ashwoodpb.GenerateRequest
 	freed    chan struct{} // gets a value with each release
 	boxes    *Boxes        // the gateway's transport to them
+	list     []ashwood.Server
+	front    *Server
+	second   chan struct{} // a value lets an answer go on after its first token
 }
 
 func (b *box) note(id, method string) (nth int) {
@@ -112,6 +116,8 @@
 			return status.Error(codes.DataLoss, "broke in the middle")
 		case in.Session == "removed" && i == 0:
 			b.boxes.Keep(nil)
+		case in.Session == "halved" && i == 0:
+			<-b.second
 		case in.Session == "endless":
 			<-out.Context().Done()
 			b.canceled <- in.RequestId
@@ -121,6 +127,10 @@
 	return nil
 }
 
+func (b *box) Load(ctx context.Context, _ *ashwoodpb.LoadRequest) (*ashwoodpb.LoadResult, error) {
+	return &ashwoodpb.LoadResult{}, grpc.SetTrailer(ctx, metadata.Pairs(trailerLoad, "inflight=2"))
+}
+
 func (b *box) Reserve(_ context.Context, in *ashwoodpb.RoomRequest) (*ashwoodpb.ReserveResult, error) {
 	b.hold(in.RequestId, 1)
 	return &ashwoodpb.ReserveResult{Held: true}, nil
@@ -176,15 +186,14 @@
 func startAt(t *testing.T, c clock.Clock) (ashwoodpb.InferenceClient, *fleet, *gateway.Gateway) {
 	t.Helper()
 	f := &fleet{calls: map[string][]string{}, rooms: map[string]int{}, canceled: make(chan string, 9), waiting: make(chan string, 9),
-		freed: make(chan struct{}, 999)}
-	var list []ashwood.Server
+		freed: make(chan struct{}, 999), second: make(chan struct{})}
 	for _, name := range []string{"r1", "r2", "w1", "w2"} {
 		l, s := listen(t), grpc.NewServer()
 		ashwoodpb.RegisterBoxServer(s, &box{fleet: f, name: name})
 		go s.Serve(l)
 		t.Cleanup(s.Stop)
 		kind := map[byte]string{'r': "reader", 'w': "writer"}[name[0]]
-		list = append(list, ashwood.Server{ID: ashwood.ServerID(name), Kind: kind, State: ashwood.StateOn, Address: l.Addr().String()})
+		f.list = append(f.list, ashwood.Server{ID: ashwood.ServerID(name), Kind: kind, State: ashwood.StateOn, Address: l.Addr().String()})
 	}
 	log := slog.New(slog.DiscardHandler)
 	f.boxes = NewBoxes(settings(), insecure.NewCredentials(), c)
@@ -193,14 +202,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	gw.Update(ashwood.ListWhole, list)
+	gw.Update(ashwood.ListWhole, f.list)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go gw.Run(ctx)
-	front := NewServer(gw, settings(), insecure.NewCredentials(), c, log)
+	f.front = NewServer(gw, settings(), insecure.NewCredentials(), c, log)
 	l := listen(t)
-	go front.Serve(l)
-	t.Cleanup(front.grpc.Stop)
+	go f.front.Serve(l)
+	t.Cleanup(f.front.grpc.Stop)
 	cc, err := grpc.NewClient("passthrough:///"+l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry())
 	if err != nil {
 		t.Fatal(err)
@@ -391,6 +400,52 @@
 	check(&ashwoodpb.GenerateRequest{RequestId: "b", Class: "send-order", PromptTokens: 64, FirstTokenMs: 200}, codes.ResourceExhausted)
 }
 
+func TestProbeTellsTheLoad(t *testing.T) {
+	_, f, _ := start(t)
+	status, report := f.boxes.Probe(context.Background(), f.list[0])
+	if diff := cmp.Diff(ashwood.Report{ashwood.ReportInFlight: 2}, report); status != ashwood.Served || diff != "" {
+		t.Errorf("status %v\n%s", status, diff)
+	}
+	gone := listen(t)
+	gone.Close()
+	status, _ = f.boxes.Probe(context.Background(), ashwood.Server{ID: "gone", Address: gone.Addr().String()})
+	if status != ashwood.NoConnection {
+		t.Errorf("status %v of a box that is gone", status)
+	}
+}
+
+func TestDrainingFrontSaysSoAndFinishesWhatRuns(t *testing.T) {
+	client, f, _ := start(t)
+	s, err := client.Generate(context.Background(), &ashwoodpb.GenerateRequest{RequestId: "q", Class: "send-order", Session: "halved", PromptTokens: 64})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Recv(); err != nil {
+		t.Fatal(err)
+	}
+	f.front.Drain()
+	health, err := f.front.health.Check(context.Background(), &grpc_health_v1.HealthCheckRequest{})
+	if err != nil || health.Status != grpc_health_v1.HealthCheckResponse_NOT_SERVING {
+		t.Errorf("health %v, %v", health, err)
+	}
+	if tokens, err := ask(client, &ashwoodpb.GenerateRequest{RequestId: "late", Class: "send-order", PromptTokens: 64}); len(tokens) != 3 || err != io.EOF {
+		t.Errorf("a call while it drains: %v, %v", tokens, err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		f.front.Shutdown()
+		close(ended)
+	}()
+	f.second <- struct{}{}
+	for err = nil; err == nil; {
+		_, err = s.Recv()
+	}
+	if err != io.EOF {
+		t.Errorf("the running answer ended with %v", err)
+	}
+	<-ended
+}
+
 func TestUnusableCallsAreInvalid(t *testing.T) {
 	client, _, _ := start(t)
 	for _, in := range []*ashwoodpb.GenerateRequest{{Class: "case-chat"}, {RequestId: "a", Class: "no such"}, {RequestId: "a"}} {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -332,6 +333,102 @@
 	}
 }
 
+// Clients and engines share the node's descriptors, so that the pool keeps to
+// its part: it closes an idle connection for a new one, and opens none beyond.
+func TestPoolKeepsToItsPartAndClosesWhatIsIdle(t *testing.T) {
+	c := clock.NewManual(0)
+	p := newPool(c, 2000, 1000, 2)
+	get := func(addr string) *conn {
+		t.Helper()
+		got, err := p.get(context.Background(), addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return got
+	}
+	first, second := listen(t).Addr().String(), listen(t).Addr().String()
+	a, b := get(first), get(first)
+	if _, err := p.get(context.Background(), second); !errors.Is(err, errTooMany) {
+		t.Errorf("a third connection: %v", err)
+	}
+	p.put(a)
+	c.Advance(1)
+	p.put(b)
+	other := get(second)
+	if _, err := a.Write([]byte("x")); !errors.Is(err, net.ErrClosed) || p.open != 2 {
+		t.Errorf("the oldest idle connection: %v; %d open", err, p.open)
+	}
+	if again := get(first); again != b {
+		t.Error("an idle connection is not used again")
+	}
+	p.put(b)
+	p.put(other)
+	c.Advance(1000)
+	p.sweep()
+	if p.open != 2 {
+		t.Errorf("%d open after the time that they may be idle, want 2", p.open)
+	}
+	c.Advance(1)
+	p.sweep()
+	if p.open != 0 || len(p.idle) != 0 {
+		t.Errorf("%d open, idle %v", p.open, p.idle)
+	}
+}
+
+// Only what has not left whole is proved not to have run.
+func TestWhatAnAttemptWithoutAnAnswerProves(t *testing.T) {
+	live, ended := context.Background(), func() context.Context {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		return ctx
+	}()
+	tests := []struct {
+		ctx   context.Context
+		wrote bool
+		err   error
+		want  ashwood.Status
+	}{
+		{live, true, io.EOF, ashwood.ConnectionLost},
+		{ended, true, context.Canceled, ashwood.ConnectionLost},
+		{live, false, io.ErrShortWrite, ashwood.NoConnection},
+		{ended, false, io.ErrShortWrite, ashwood.NotSent},
+		{live, false, errNotReady, ashwood.NotSent},
+		{live, false, errTooMany, ashwood.NotSent},
+	}
+	for _, tt := range tests {
+		if got := failed(tt.ctx, tt.wrote, tt.err).Status; got != tt.want {
+			t.Errorf("wrote %v, %v: %v, want %v", tt.wrote, tt.err, got, tt.want)
+		}
+	}
+}
+
+func TestProbeTellsTheLoad(t *testing.T) {
+	e := NewEngines(settings(), clock.NewManual(0), 9)
+	for _, tt := range []struct {
+		name, answer string
+		status       ashwood.Status
+		report       ashwood.Report
+	}{
+		{"in the head", "HTTP/1.1 200 OK\r\nX-Pressure: inflight=3,x0=0.5\r\nContent-Length: 0\r\n\r\n",
+			ashwood.Served, ashwood.Report{ashwood.ReportInFlight: 3, ashwood.ReportMemory: 0.5}},
+		{"in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("queue=2") + "0\r\n\r\n",
+			ashwood.Served, ashwood.Report{ashwood.ReportQueue: 2}},
+		{"an error", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", ashwood.ServerError, nil},
+		{"a reset", "\x00", ashwood.ConnectionLost, nil},
+	} {
+		v := engine(t, "w1", "writer", func(s seen) string {
+			if s.Method != "GET" || s.Target != loadPath {
+				t.Errorf("%s %s", s.Method, s.Target)
+			}
+			return tt.answer
+		})
+		status, report := e.Probe(context.Background(), v)
+		if diff := cmp.Diff(tt.report, report); status != tt.status || diff != "" {
+			t.Errorf("%s: status %v\n%s", tt.name, status, diff)
+		}
+	}
+}
+
 // Version 0 is a version: asking for the whole list in its place was answered
 // at once, and went round without a pause.
 func TestDiscoveryWatchesFromTheListInHand(t *testing.T) {
