Log an outage of discovery once, and give newcomers a configuration to start with

Seen: started by hand on the README's words, the program had no file to start with, and with discovery down it logged a warning every 100 ms, which on the platform counts as memory and hides what matters.

deploy/config.json is a whole configuration with one reader and one writer, and a test loads it. Discovery logs the first failed call and, with their number, the return; the small test of discovery holds it to that. Calls go on as before.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -34,6 +34,20 @@
 	}
 }
 
+// The README tells newcomers to start with this file.
+func TestExampleIsUsable(t *testing.T) {
+	c, err := Load(func(key string) string { return map[string]string{"ROUTER_CONFIG": "../../deploy/config.json"}[key] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(c.Known.Engines) != 2 || len(c.Settings.Classes) != 3 || c.Settings.Classes[2].Effect != ashwood.SideEffect {
+		t.Errorf("%+v", c)
+	}
+	if _, err := ashwood.New(c.Settings, c.Seed); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestDefaultsAndEnvironment(t *testing.T) {
 	env := map[string]string{"ROUTER_NAME": "x", "ROUTER_LISTEN": "127.0.0.1:1", "ROUTER_DISCOVERY": "127.0.0.1:2"}
 	c, err := parse([]byte(`{"settings":{}}`), func(k string) string { return env[k] })
--- a/internal/grpcfront/boxes.go
+++ b/internal/grpcfront/boxes.go
@@ -202,8 +202,6 @@
 
 var errNotReady = errors.New("grpcfront: not to be sent any more")
 
-func never() {}
-
 func always() bool { return true }
 
 func (c *call) report() ashwood.Report {
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -39,10 +39,13 @@
 // Run watches until ctx ends, from a version on where a list of that version
 // is in hand. A discovery that is silent or gone is asked again; that list stays.
 func (d *Discovery) Run(ctx context.Context, from int64, inHand bool) {
+	failed := 0 // calls in a row; an outage is logged when it begins and ends
 	for ctx.Err() == nil {
 		t, err := d.ask(from, inHand)
 		if err != nil {
-			d.log.Warn("discovery", "err", err)
+			if failed++; failed == 1 {
+				d.log.Warn("discovery: no answer, the list in hand stays", "err", err)
+			}
 			again := make(chan struct{})
 			stop := d.clock.AfterFunc(watchPause, func() { close(again) })
 			select {
@@ -52,6 +55,10 @@
 			}
 			continue
 		}
+		if failed > 0 {
+			d.log.Info("discovery: it answers again", "failed", failed)
+			failed = 0
+		}
 		switch {
 		case t.Whole:
 			d.update(ashwood.ListWhole, t.Engines)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -437,7 +438,8 @@
 		b := fmt.Sprintf(`{"generation":%d,"reset":%v,"instances":[{"instanceId":"s","hostPort":"a:1","lifecycle":%q}]}`, version, reset, state)
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(b), b)
 	}
-	answers := []string{"\x00", list(7, false, "draining"), "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", list(9, true, "up"), ""}
+	const oops = "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"
+	answers := []string{"\x00", list(7, false, "draining"), oops, oops, list(9, true, "up"), ""}
 	peer := engine(t, "d", "", func(s seen) string {
 		asked <- s.Target
 		a := answers[0]
@@ -449,7 +451,8 @@
 		State ashwood.ServerState
 	}
 	told := make(chan news, 9)
-	d := NewDiscovery(peer.Address, clock.System(), slog.New(slog.DiscardHandler), func(f ashwood.ListForm, l []ashwood.Server) {
+	var logged bytes.Buffer
+	d := NewDiscovery(peer.Address, clock.System(), slog.New(slog.NewTextHandler(&logged, nil)), func(f ashwood.ListForm, l []ashwood.Server) {
 		told <- news{f, l[0].State}
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -457,12 +460,16 @@
 	go d.Run(ctx, 0, true)
 	got := []news{<-told, <-told}
 	var targets []string
-	for range 5 {
+	for range 6 {
 		targets = append(targets, strings.TrimSuffix(<-asked, "&hold_ms=10000"))
 	}
 	want := []news{{ashwood.ListPatch, ashwood.StateFading}, {ashwood.ListWhole, ashwood.StateOn}}
 	const from = "/api/targets?from="
-	if diff := cmp.Diff(want, got) + cmp.Diff([]string{from + "0", from + "0", from + "7", from + "7", from + "9"}, targets); diff != "" {
+	if diff := cmp.Diff(want, got) + cmp.Diff([]string{from + "0", from + "0", from + "7", from + "7", from + "7", from + "9"}, targets); diff != "" {
 		t.Error(diff)
 	}
+	// An outage is two lines, not ten a second for as long as it lasts.
+	if n := strings.Count(logged.String(), "failed=2"); n != 1 || strings.Count(logged.String(), "no answer") > 2 {
+		t.Errorf("logged:\n%s", logged.String())
+	}
 }
