--- a/internal/platform/engines.go
+++ b/internal/platform/engines.go
@@ -168,7 +168,7 @@
 	default:
 		st = ashwood.NoConnection
 	}
-	return gateway.Answer{Result: ashwood.Result{Status: st}, Err: err}
+	return gateway.Answer{Result: ashwood.Result{Status: st}, Err: fmt.Errorf("platform: no answer: %w", err)}
 }
 
 // drain reads a short answer's body and gives the connection back.
