--- a/cmd/ashwood/main.go
+++ b/cmd/ashwood/main.go
@@ -34,7 +34,7 @@
 	// Of the memory limit, what the runtime may use before it collects harder.
 	memoryShare = 0.75
 	// Of the sockets, what clients and engines may have; the rest is for the runtime.
-	clientShare, engineShare, grpcShare = 0.5, 0.3, 0.1
+	clientShare, engineShare, grpcShare = 0.45, 0.42, 0.08
 )
 
 func main() {
@@ -63,6 +63,9 @@
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * memoryShare * (1 << 20)))
+	hup := make(chan os.Signal, 1) // the default would end the program
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 
@@ -90,10 +93,14 @@
 		addrs = append(addrs, f.name, f.addr)
 	}
 	log.Info("serving", addrs...)
-	select {
-	case err := <-ended:
-		return errors.Join(errors.New("a server has ended"), err)
-	case <-term.Done():
+	for term.Err() == nil {
+		select {
+		case err := <-ended:
+			return errors.Join(errors.New("a server has ended"), err)
+		case <-hup:
+			reload(log, fronts)
+		case <-term.Done():
+		}
 	}
 	for _, f := range fronts {
 		f.drain()
@@ -108,6 +115,19 @@
 	return errors.Join(errs...)
 }
 
+// reload reads the configuration again for what may change while requests run.
+// A faulty file changes nothing.
+func reload(log *slog.Logger, fronts []front) {
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		log.Error("reload: the configuration in use stays", "err", err)
+		return
+	}
+	for _, f := range fronts {
+		f.reload(cfg)
+	}
+}
+
 // front is one of the program's servers.
 type front struct {
 	name     string
@@ -115,6 +135,7 @@
 	serve    func() error
 	drain    func()       // clients are to go elsewhere
 	shutdown func() error // take nothing more, finish what was taken
+	reload   func(config.Config)
 }
 
 // openPlatform sets up the platform's protocol.
@@ -131,11 +152,13 @@
 	gw.Update(ashwood.ListStale, cfg.Known.Engines)
 	go gw.Run(context.Background())
 	known := len(cfg.Known.Engines) > 0
-	go platform.NewDiscovery(cfg.Discovery, c, log, gw.Update).Run(context.Background(), cfg.Known.Generation, known)
+	d := platform.NewDiscovery(cfg.Discovery, c, log, gw.Update)
+	go d.Run(context.Background(), cfg.Known.Generation, known)
 	s := platform.NewServer(gw, log, int(sockets*clientShare))
 	return front{
 		name: "listen", addr: l.Addr(), serve: func() error { return s.Serve(l) }, drain: s.Drain,
 		shutdown: func() error { return s.Shutdown(context.Background()) },
+		reload:   func(cfg config.Config) { d.Move(cfg.Discovery) },
 	}, nil
 }
 
@@ -165,5 +188,6 @@
 	return front{
 		name: "grpc", addr: l.Addr(), serve: func() error { return s.Serve(l) }, drain: s.Drain,
 		shutdown: func() error { s.Shutdown(); return nil },
+		reload:   func(config.Config) {}, // its boxes have a list of their own
 	}, nil
 }
--- a/cmd/ashwood/main_test.go
+++ b/cmd/ashwood/main_test.go
@@ -76,9 +76,15 @@
 
 // start runs the program until it serves, and tells where.
 func start(t *testing.T, config, operator string) (cmd *exec.Cmd, listen, front string) {
+	return startWith(t, write(t, "config.json", config), operator, io.Discard)
+}
+
+// startWith has the program read its configuration from a file and copies what
+// it logs once it serves.
+func startWith(t *testing.T, path, operator string, log io.Writer) (cmd *exec.Cmd, listen, front string) {
 	t.Helper()
 	cmd = exec.Command(program)
-	cmd.Env = []string{"ROUTER_CONFIG=" + write(t, "config.json", config)}
+	cmd.Env = []string{"ROUTER_CONFIG=" + path}
 	if operator != "" {
 		cmd.Env = append(cmd.Env, "ASHWOOD_OPERATOR="+write(t, "operator.toml", operator))
 	}
@@ -93,7 +99,7 @@
 	lines := bufio.NewScanner(out)
 	for lines.Scan() {
 		if m := serving.FindStringSubmatch(lines.Text()); m != nil {
-			go io.Copy(io.Discard, out)
+			go io.Copy(log, out)
 			return cmd, m[2], m[1]
 		}
 	}
@@ -199,6 +205,56 @@
 	}
 }
 
+// SIGHUP would end a program that does not expect it. A faulty file is named
+// and changes nothing; a good one moves discovery while an answer runs on.
+func TestReloadsOnSIGHUP(t *testing.T) {
+	writing, finish := make(chan struct{}, 9), make(chan struct{})
+	list := engines(t, func() {
+		writing <- struct{}{}
+		<-finish
+	})
+	asked := make(chan struct{}, 9)
+	moved := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		asked <- struct{}{}
+		if r.URL.Query().Get("from") != "" {
+			<-r.Context().Done()
+		}
+		io.WriteString(w, list)
+	})
+	path := write(t, "config.json", configuration(discovery(t, list), "null"))
+	logs, log := io.Pipe()
+	cmd, listen, _ := startWith(t, path, "", log)
+	lines := bufio.NewScanner(logs)
+	hup := func(config, want string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		for lines.Scan() {
+			if strings.Contains(lines.Text(), want) {
+				return
+			}
+		}
+		t.Fatalf("it ended without a word of %q", want)
+	}
+	r := order(t, listen)
+	<-writing
+	hup(strings.Replace(configuration(moved, "null"), `"seed":"`, `"seed":"x`, 1), "config: seed")
+	if len(asked) > 0 {
+		t.Error("a faulty file moved discovery")
+	}
+	hup(configuration(moved, "null"), "discovery: moved")
+	<-asked
+	go io.Copy(io.Discard, logs)
+	close(finish)
+	if body, err := io.ReadAll(r.Body); r.StatusCode != 200 || string(body) != answer || err != nil {
+		t.Errorf("%s, %q, %v", r.Status, body, err)
+	}
+}
+
 // grpcBox reads and writes.
 type grpcBox struct {
 	ashwoodpb.UnimplementedBoxServer
--- a/facade.go
+++ b/facade.go
@@ -124,6 +124,9 @@
 	return v != nil && v.listed
 }
 
+// Pause is the ms for which a refused client is told to stay away; 0 = no advice.
+func (t *Router) Pause() float64 { return millis(t.sched.pause()) }
+
 // Pick takes in a request and waits for its first step. When ctx ends, the
 // client has left. What it answers with StepSend is owed a Report.
 func (t *Router) Pick(ctx context.Context, c Call) (Step, error) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -188,6 +188,10 @@
 // Update tells the gateway of news of the list of engines.
 func (g *Gateway) Update(form ashwood.ListForm, list []ashwood.Server) { g.router.Update(form, list) }
 
+// Pause is how long in ms a client is to stay away that a front must refuse by
+// itself, for want of room; 0 = no advice.
+func (g *Gateway) Pause() float64 { return g.router.Pause() }
+
 // Serve takes a request to its final answer, or to the beginning of one. When
 // ctx ends, the client has left; ctx bounds a served stream too, which the
 // caller must close. An error means that the request was not taken.
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -1,8 +1,10 @@
 package platform
 
 import (
+	"container/list"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -10,16 +12,68 @@
 const writeWait = 10 * time.Second
 
 // Listener wraps one so that its connections tell when their client leaves.
-func Listener(l net.Listener) net.Listener { return listener{l} }
+func Listener(l net.Listener) net.Listener { return &listener{Listener: l} }
 
-type listener struct{ net.Listener }
+// listener holds at most limit connections open, without a limit where that is
+// 0. For a new one beyond, it closes the one that has waited longest without a
+// request: clients may keep connections that they never use again, or open
+// hundreds and say nothing, and those that do ask must still get in.
+type listener struct {
+	net.Listener
+	limit int
 
-func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	mu      sync.Mutex
+	open    int
+	waiting list.List // of *clientConn without an open request, longest first
+}
+
+// busyShare is the part of a listener's connections that may have a request
+// open, so that there is always one to close for a new one.
+const busyShare = 0.8
+
+func (l *listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{Conn: c}, nil
+	c := &clientConn{Conn: nc, l: l}
+	l.mu.Lock()
+	old := l.oldest()
+	l.open++
+	c.place = l.waiting.PushBack(c)
+	l.mu.Unlock()
+	if old != nil {
+		old.Close()
+	}
+	return c, nil
+}
+
+// oldest gives the connection to close for a new one, nil where there is room.
+func (l *listener) oldest() *clientConn {
+	if l.limit == 0 || l.open < l.limit {
+		return nil
+	}
+	for e := l.waiting.Front(); e != nil; e = e.Next() {
+		// A later request that has been read in part is owed an answer.
+		if c := e.Value.(*clientConn); !c.served || !c.reading.Load() {
+			l.leave(c)
+			return c
+		}
+	}
+	return nil
+}
+
+// leave takes a connection out of the count.
+func (l *listener) leave(c *clientConn) {
+	if c.left {
+		return
+	}
+	c.left = true
+	l.open--
+	if c.place != nil {
+		l.waiting.Remove(c.place)
+		c.place = nil
+	}
 }
 
 // clientConn notices that its client closes while a request runs, which
@@ -27,12 +81,51 @@
 // read to the next Read.
 type clientConn struct {
 	net.Conn
+	l       *listener
+	reading atomic.Bool // bytes of a request have been read
+
+	// Of the listener:
+	place  *list.Element // among those that wait; nil with a request open
+	served bool          // it has had a request
+	left   bool
 
 	mu    sync.Mutex
 	ahead []byte
 	quit  chan struct{} // closed when the watch has ended; nil without one
 }
 
+// begin tells that a whole request has been read, and gives whether there is
+// room for it beside the others that are open.
+func (c *clientConn) begin() bool {
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	c.served = true
+	if c.place != nil {
+		c.l.waiting.Remove(c.place)
+		c.place = nil
+	}
+	busy := c.l.open - c.l.waiting.Len()
+	return c.l.limit == 0 || float64(busy) <= float64(c.l.limit)*busyShare
+}
+
+// end tells that its answer is ready or, where that is a stream, over.
+func (c *clientConn) end() {
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	c.reading.Store(false)
+	if !c.left && c.place == nil {
+		c.place = c.l.waiting.PushBack(c)
+	}
+}
+
+// Close takes the connection out of the listener's count.
+func (c *clientConn) Close() error {
+	c.l.mu.Lock()
+	c.l.leave(c)
+	c.l.mu.Unlock()
+	return c.Conn.Close()
+}
+
 // watch calls gone once if the client closes its side before unwatch.
 func (c *clientConn) watch(gone func()) {
 	c.mu.Lock()
@@ -80,10 +173,14 @@
 	n := copy(p, c.ahead)
 	c.ahead = c.ahead[n:]
 	c.mu.Unlock()
-	if n > 0 {
-		return n, nil
+	if n == 0 {
+		var err error
+		if n, err = c.Conn.Read(p); err != nil {
+			return n, err
+		}
 	}
-	return c.Conn.Read(p)
+	c.reading.Store(true)
+	return n, nil
 }
 
 // Write gives up on a client that does not read.
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -17,31 +19,78 @@
 	watchHold  = 10000.0 // ms that a watch may wait
 	watchSlack = 1500.0  // and how much later its answer is given up
 	watchPause = 100.0   // after a failed call; a watch goes on for 200
+	maxList    = 4 << 20 // bytes of a list
 )
 
 // Discovery follows the list of engines.
 type Discovery struct {
-	addr   string
 	clock  clock.Clock
 	log    *slog.Logger
 	update func(ashwood.ListForm, []ashwood.Server)
-	client *fasthttp.HostClient
+
+	mu    sync.Mutex
+	addr  string
+	moved context.CancelFunc // ends what is being asked of the old address
 }
 
 // NewDiscovery makes a follower that tells update of each change.
 func NewDiscovery(addr string, c clock.Clock, log *slog.Logger, update func(ashwood.ListForm, []ashwood.Server)) *Discovery {
-	return &Discovery{addr: addr, clock: c, log: log, update: update, client: &fasthttp.HostClient{
-		Addr: addr, ReadTimeout: clock.Duration(watchHold + watchSlack), WriteTimeout: time.Second,
-		MaxIdleConnDuration: time.Minute,
-	}}
+	return &Discovery{addr: addr, clock: c, log: log, update: update, moved: func() {}}
+}
+
+// Move has discovery asked at another address from now on. The list in hand
+// stays until that has answered with one of its own.
+func (d *Discovery) Move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if addr == d.addr {
+		return
+	}
+	d.log.Info("discovery: moved", "from", d.addr, "to", addr)
+	d.addr = addr
+	d.moved()
+}
+
+// leg gives the address to ask and a context that ends when it is left.
+func (d *Discovery) leg(ctx context.Context) (context.Context, string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ctx, d.moved = context.WithCancel(ctx)
+	return ctx, d.addr
 }
 
 // Run watches until ctx ends, from a version on where a list of that version
-// is in hand. A discovery that is silent or gone is asked again; that list stays.
+// is in hand. At an address moved to, versions may be others: the whole list
+// is asked for there.
 func (d *Discovery) Run(ctx context.Context, from int64, inHand bool) {
+	for ctx.Err() == nil {
+		leg, addr := d.leg(ctx)
+		d.follow(leg, addr, from, inHand)
+		inHand = false
+	}
+}
+
+// follow watches at one address until ctx ends. A discovery that is silent or
+// gone is asked again; the list in hand stays.
+func (d *Discovery) follow(ctx context.Context, addr string, from int64, inHand bool) {
+	client := &fasthttp.HostClient{
+		Addr: addr, ReadTimeout: clock.Duration(watchHold + watchSlack), WriteTimeout: time.Second,
+		MaxIdleConnDuration: time.Minute, MaxResponseBodySize: maxList, MaxIdemponentCallAttempts: 1,
+		Dial: func(addr string) (net.Conn, error) {
+			dialer := net.Dialer{Timeout: clock.Duration(watchSlack)}
+			c, err := dialer.DialContext(ctx, "tcp", addr)
+			if err != nil {
+				return nil, err
+			}
+			return legConn{c, context.AfterFunc(ctx, func() { c.Close() })}, nil
+		},
+	}
 	failed := 0 // calls in a row; an outage is logged when it begins and ends
 	for ctx.Err() == nil {
-		t, err := d.ask(from, inHand)
+		t, err := askList(client, from, inHand)
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			if failed++; failed == 1 {
 				d.log.Warn("discovery: no answer, the list in hand stays", "err", err)
@@ -69,19 +118,31 @@
 	}
 }
 
-// ask waits for changes since a version, or gets the whole list without one.
+// legConn is closed with its leg: a watch waits long, and fasthttp has no way
+// to call one off.
+type legConn struct {
+	net.Conn
+	stop func() bool
+}
+
+func (c legConn) Close() error {
+	c.stop()
+	return c.Conn.Close()
+}
+
+// askList waits for changes since a version, or gets the whole list without one.
 // Version 0 may be waited on like any other: asking for the whole list then
 // would be answered at once, again and again.
-func (d *Discovery) ask(from int64, inHand bool) (wire.Targets, error) {
+func askList(client *fasthttp.HostClient, from int64, inHand bool) (wire.Targets, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	target := fmt.Sprintf("http://%s/api/targets", d.addr)
+	target := fmt.Sprintf("http://%s/api/targets", client.Addr)
 	if inHand {
 		target += fmt.Sprintf("?from=%d&hold_ms=%.0f", from, watchHold)
 	}
 	req.SetRequestURI(target)
-	if err := d.client.Do(req, resp); err != nil {
+	if err := client.Do(req, resp); err != nil {
 		return wire.Targets{}, fmt.Errorf("platform: discovery: %w", err)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -473,3 +473,85 @@
 		t.Errorf("logged:\n%s", logged.String())
 	}
 }
+
+// On a reload discovery moves while a watch waits at the old address. The list
+// in hand stays until the new one has answered, with the whole list.
+func TestDiscoveryMovesInMidWatch(t *testing.T) {
+	asked, speak := make(chan string, 9), make(chan struct{})
+	peer := func(name string, answers ...string) ashwood.Server {
+		return engine(t, name, "", func(s seen) string {
+			asked <- name + " " + s.Target
+			if len(answers) == 0 {
+				return ""
+			}
+			if name == "new" {
+				<-speak
+			}
+			a := answers[0]
+			answers = answers[1:]
+			return a
+		})
+	}
+	list := func(id string) string {
+		b := fmt.Sprintf(`{"generation":3,"reset":true,"instances":[{"instanceId":%q,"hostPort":"a:1","lifecycle":"up"}]}`, id)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(b), b)
+	}
+	old, next := peer("old", list("a")), peer("new", list("b"))
+	told := make(chan ashwood.ServerID, 9)
+	d := NewDiscovery(old.Address, clock.System(), slog.New(slog.DiscardHandler), func(_ ashwood.ListForm, l []ashwood.Server) {
+		told <- l[0].ID
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go d.Run(ctx, 0, false)
+	var targets []string
+	for range 2 {
+		targets = append(targets, <-asked)
+	}
+	d.Move(next.Address)
+	targets = append(targets, <-asked)
+	if a := <-told; a != "a" || len(told) > 0 {
+		t.Errorf("told of %s, then %d more before the new address spoke", a, len(told))
+	}
+	close(speak)
+	targets = append(targets, <-asked)
+	if b := <-told; b != "b" {
+		t.Errorf("told of %s", b)
+	}
+	const from = " /api/targets?from=3&hold_ms=10000"
+	want := []string{"old /api/targets", "old" + from, "new /api/targets", "new" + from}
+	if diff := cmp.Diff(want, targets); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Clients may keep connections that they never use again, or open many and say
+// nothing. A new client gets in, and no connection with a request is closed.
+func TestNewClientsGetInPastSilentConnections(t *testing.T) {
+	writing, finish := make(chan struct{}, 9), make(chan struct{})
+	s, addr := serve(t, engine(t, "r1", "reader", reads), engine(t, "w1", "writer", writes(func(seen) string {
+		writing <- struct{}{}
+		<-finish
+		return whole()
+	})))
+	busy := dial(t, addr)
+	io.WriteString(busy, request("order", "", "{}"))
+	<-writing
+	silent := dial(t, addr)
+	for range s.limit {
+		dial(t, addr)
+	}
+	if _, err := silent.Read(make([]byte, 1)); err == nil {
+		t.Error("the oldest silent connection got an answer")
+	}
+	close(finish)
+	for name, c := range map[string]net.Conn{"busy": busy, "new": dial(t, addr)} {
+		text := ""
+		if name == "new" {
+			text = strings.Replace(request("order", "", "{}"), "9b1f", "9b20", 1)
+		}
+		if r, body, err := ask(t, c, text); r.StatusCode != 200 || err != nil {
+			t.Errorf("%s: %s, %q, %v", name, r.Status, body, err)
+		}
+	}
+}
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -22,8 +22,8 @@
 
 const (
 	maxBody     = 256 << 10
-	readTimeout = 30 * time.Second
-	idleTimeout = 120 * time.Second
+	readTimeout = 2 * time.Second // from a connection's begin, or a later request's first byte, to the whole request
+	idleTimeout = 5 * time.Second // between requests
 	readyPath   = "/-/ready"
 )
 
@@ -32,14 +32,16 @@
 	gw       *gateway.Gateway
 	log      *slog.Logger
 	http     *fasthttp.Server
+	limit    int
 	draining atomic.Bool
 }
 
-// NewServer makes a server for at most limit connections at once.
+// NewServer makes a server for at most limit connections at once. Beyond
+// that, its listener closes connections; fasthttp counts these a little longer.
 func NewServer(gw *gateway.Gateway, log *slog.Logger, limit int) *Server {
-	s := &Server{gw: gw, log: log}
+	s := &Server{gw: gw, log: log, limit: limit}
 	s.http = &fasthttp.Server{
-		Handler: s.handle, ErrorHandler: s.malformed, Concurrency: limit, MaxRequestBodySize: maxBody,
+		Handler: s.handle, ErrorHandler: s.malformed, Concurrency: 2 * limit, MaxRequestBodySize: maxBody,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true,
 		CloseOnShutdown: true, Logger: discard{},
 	}
@@ -51,7 +53,9 @@
 func (discard) Printf(string, ...any) {}
 
 // Serve answers on a listener until Shutdown.
-func (s *Server) Serve(l net.Listener) error { return s.http.Serve(Listener(l)) }
+func (s *Server) Serve(l net.Listener) error {
+	return s.http.Serve(&listener{Listener: l, limit: s.limit})
+}
 
 // Drain has each answer close its connection, so that clients go elsewhere.
 func (s *Server) Drain() { s.draining.Store(true) }
@@ -102,13 +106,16 @@
 	}
 	client, gone := context.WithCancel(context.Background())
 	conn, _ := ctx.Conn().(*clientConn)
+	room := true
 	if conn != nil {
+		room = conn.begin()
 		conn.watch(gone)
 	}
 	end := func() {
 		gone()
 		if conn != nil {
 			conn.unwatch()
+			conn.end()
 		}
 	}
 	streams := false
@@ -117,6 +124,10 @@
 			end()
 		}
 	}()
+	if !room {
+		refuse(ctx, gw.Pause())
+		return
+	}
 	reply, err := gw.Serve(client, req)
 	switch {
 	case errors.Is(err, ashwood.ErrDuplicate):
@@ -132,10 +143,7 @@
 		ctx.SetContentType("text/event-stream")
 		ctx.SetBodyStream(&body{stream: reply.Stream, end: end}, -1)
 	case gateway.Refused:
-		ctx.Error("refused: try again later", fasthttp.StatusServiceUnavailable)
-		if reply.RetryAfter > 0 {
-			ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(reply.RetryAfter/1000, 'f', 3, 64))
-		}
+		refuse(ctx, reply.RetryAfter)
 	case gateway.Failed:
 		text := "failed: it may have run"
 		if reply.Err != nil {
@@ -148,6 +156,14 @@
 	}
 }
 
+// refuse tells a client to come back after a pause in ms, 0 = no advice.
+func refuse(ctx *fasthttp.RequestCtx, pause float64) {
+	ctx.Error("refused: try again later", fasthttp.StatusServiceUnavailable)
+	if pause > 0 {
+		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(pause/1000, 'f', 3, 64))
+	}
+}
+
 // body feeds a stream's pieces to fasthttp, which flushes each. When Read
 // fails, fasthttp closes the connection without the last chunk.
 type body struct {
