--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -212,8 +212,6 @@
 			ans, next := g.attempt(ctx, req, step, &h)
 			if ans.Err != nil {
 				last = ans.Err
-				g.log.Debug("attempt", "id", req.ID, "class", req.Class, "engine", step.Engine.ID,
-					"attempt", step.Attempt, "status", ans.Status, "err", ans.Err)
 			}
 			if ans.Stream != nil {
 				return Reply{Kind: Served, Stream: ans.Stream}, nil
@@ -234,6 +232,7 @@
 // attempt sends a request once. It gives either a begun answer's stream or,
 // after it has reported how the attempt ended, the next step.
 func (g *Gateway) attempt(ctx context.Context, req *Request, step ashwood.Step, h *holds) (Answer, ashwood.Step) {
+	begun := g.clock.Now()
 	actx, cancel := context.WithCancelCause(step.Context)
 	stop := g.clock.AfterFunc(step.Timeout, func() { cancel(ErrTimedOut) })
 	ans := g.transport.Send(actx, Attempt{
@@ -248,6 +247,8 @@
 		},
 	})
 	inTime := stop() && actx.Err() == nil
+	g.log.Debug("attempt", "id", req.ID, "class", req.Class, "engine", step.Engine.ID, "kind", step.Engine.Kind,
+		"attempt", step.Attempt, "status", ans.Status, "ms", g.clock.Now()-begun, "err", ans.Err)
 	if ans.Status == ashwood.Served {
 		if inTime && g.router.Begun(req.ID, step.Attempt) {
 			h.begin()
--- a/internal/platform/engines.go
+++ b/internal/platform/engines.go
@@ -3,14 +3,13 @@
 package platform
 
 import (
-	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net"
-	"net/http/httputil"
 	"strconv"
 	"strings"
 	"time"
@@ -37,6 +36,7 @@
 	loadPath       = "/-/load"
 	reportComment  = ": " + headerReport + ": "
 	maxAnswerBody  = 64 << 10
+	wholeWait      = 300.0 // ms for the rest of a head, a chunk or a short answer once it has begun
 	sweepEvery     = 1000.0
 	defaultConnect = 250.0
 	defaultIdle    = 15000.0
@@ -44,7 +44,8 @@
 
 // Engines is the transport to the platform's engines.
 type Engines struct {
-	pool *pool
+	pool  *pool
+	clock clock.Clock
 }
 
 // NewEngines makes a transport that holds at most limit connections.
@@ -56,7 +57,7 @@
 	if idle <= 0 {
 		idle = defaultIdle
 	}
-	e := &Engines{pool: newPool(c, connect, idle/2, limit)}
+	e := &Engines{pool: newPool(c, connect, idle/2, limit), clock: c}
 	var sweep func()
 	sweep = func() {
 		e.pool.sweep()
@@ -96,7 +97,35 @@
 		return c, false, err
 	}
 	sent()
-	return c, true, answer.Read(c.br)
+	return c, true, e.readHead(c, answer)
+}
+
+// readHead waits for an answer's head. Once that has begun it has to be whole in
+// time: a spoilt one does not end, and its connection stays open. 1xx answers
+// before the one that counts are skipped.
+func (e *Engines) readHead(c *conn, answer *fasthttp.ResponseHeader) error {
+	for range maxInterim {
+		if b, err := c.br.Peek(1); err != nil || b[0] != 'H' {
+			return cmp.Or(err, fmt.Errorf("%w: it begins with %q", errSpoilt, b))
+		}
+		stop := e.within(c, wholeWait)
+		err := answer.Read(c.br)
+		stop()
+		if code := answer.StatusCode(); err != nil || code < 100 || code >= 200 {
+			return err
+		}
+		if answer.StatusCode() == fasthttp.StatusSwitchingProtocols {
+			break
+		}
+	}
+	return fmt.Errorf("%w: no answer behind 1xx", errSpoilt)
+}
+
+// within ends all reading and writing on a connection after some ms, unless
+// stop is called before. The connection is of no use then.
+func (e *Engines) within(c *conn, ms float64) (stop func()) {
+	cancel := e.clock.AfterFunc(ms, func() { c.SetDeadline(time.Unix(1, 0)) })
+	return func() { cancel() }
 }
 
 var errNotReady = errors.New("platform: not to be sent any more")
@@ -128,8 +157,11 @@
 	res := ashwood.Result{Report: wire.ParseReport(string(head.Peek(headerReport)))}
 	code := head.StatusCode()
 	if code == fasthttp.StatusOK {
-		s := newStream(ctx, e.pool, c, &head)
-		if err := s.first(); err != nil {
+		s := e.newStream(ctx, c, &head)
+		stop := e.within(c, wholeWait) // the head comes with the first token
+		err := s.first()
+		stop()
+		if err != nil {
 			s.Close()
 			return failed(ctx, true, err)
 		}
@@ -174,6 +206,7 @@
 // drain reads a short answer's body and gives the connection back.
 func (e *Engines) drain(ctx context.Context, c *conn, head *fasthttp.ResponseHeader) (body []byte, err error) {
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer e.within(c, wholeWait)()
 	defer func() {
 		if stop() && err == nil && !head.ConnectionClose() {
 			e.pool.put(c)
@@ -189,25 +222,13 @@
 		_, err = io.ReadFull(c.br, body)
 		return body, err
 	case n == -1:
-		if body, err = io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.br), maxAnswerBody)); err == nil {
-			err = skipTrailer(c)
+		body, err = io.ReadAll(io.LimitReader(&chunks{br: c.br, begin: func() func() { return func() {} }}, maxAnswerBody))
+		if err == nil && len(body) == maxAnswerBody {
+			err = fmt.Errorf("%w: a short answer without end", errSpoilt)
 		}
 		return body, err
 	}
-	return nil, errors.New("platform: an answer without a usable length")
-}
-
-// skipTrailer reads the empty line behind the last chunk.
-func skipTrailer(c *conn) error {
-	for {
-		line, err := c.br.ReadSlice('\n')
-		if err != nil {
-			return err
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return nil
-		}
-	}
+	return nil, fmt.Errorf("%w: no usable length", errSpoilt)
 }
 
 func never() {}
@@ -285,25 +306,39 @@
 	tail  []byte // the last bytes seen, for the report
 	keep  bool
 	done  bool
-	chunk bool
 }
 
 const tailBytes = 512
 
-func newStream(ctx context.Context, p *pool, c *conn, head *fasthttp.ResponseHeader) *stream {
-	s := &stream{pool: p, c: c, keep: !head.ConnectionClose()}
+func (e *Engines) newStream(ctx context.Context, c *conn, head *fasthttp.ResponseHeader) *stream {
+	s := &stream{pool: e.pool, c: c, keep: !head.ConnectionClose()}
 	s.stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	switch n := head.ContentLength(); {
 	case n == -1:
-		s.body, s.chunk = httputil.NewChunkedReader(c.br), true
+		s.body = &chunks{br: c.br, begin: func() func() { return e.within(c, wholeWait) }}
 	case n >= 0:
-		s.body = io.LimitReader(c.br, int64(n))
+		s.body = &exactly{r: c.br, left: n}
 	default:
 		s.body, s.keep = c.br, false
 	}
 	return s
 }
 
+// exactly reads a body of a length that was told; less is a broken one.
+type exactly struct {
+	r    io.Reader
+	left int
+}
+
+func (b *exactly) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := b.r.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, unexpected(err)
+}
+
 func (s *stream) first() error {
 	piece, err := s.Next()
 	if errors.Is(err, io.EOF) {
@@ -323,7 +358,7 @@
 		return nil, io.EOF
 	}
 	n, err := s.body.Read(s.buf[:])
-	if n > 0 {
+	if n > 0 && !errors.Is(err, errSpoilt) { // of a chunk that does not fit, nothing goes on
 		piece := s.buf[:n]
 		s.tail = append(s.tail, piece...)
 		if extra := len(s.tail) - tailBytes; extra > 0 {
@@ -331,12 +366,7 @@
 		}
 		return piece, nil // an error comes again with the next call
 	}
-	if err == io.EOF {
-		s.done = true
-		if s.chunk {
-			s.keep = s.keep && skipTrailer(s.c) == nil
-		}
-	}
+	s.done = err == io.EOF
 	return nil, err
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -239,6 +239,74 @@
 	}
 }
 
+// From any engine some answers arrive spoilt, on connections that stay open. One
+// spoilt before its first event was passed on may have run; a later one ends the
+// client's connection without the last chunk.
+func TestSpoiltAnswers(t *testing.T) {
+	good := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+	tests := []struct {
+		name, answer string
+		begun        bool
+	}{
+		{"noise", "\xb5\x07 nothing of HTTP", false},
+		{"a status that is none", "HTTP/1.1 2x0 OK\r\n\r\n", false},
+		{"a head that does not go on", "HTTP/1.1 200 OK\r\nX-Half: ", false},
+		{"a head without end", good + strings.Repeat("X-More: and more\r\n", 999), false},
+		{"nothing but 1xx", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", maxInterim), false},
+		{"no event behind the head", head, false},
+		{"a first size that is none", head + "zz\r\n" + event1, false},
+		{"a first chunk of 3 GB", head + "c0000000\r\n" + event1, false},
+		{"a first chunk beyond its size", head + "2\r\n" + event1 + "\r\n", false},
+		{"a size that is none", head + chunk(event1) + "-1\r\n", true},
+		{"a size that does not end", head + chunk(event1) + strings.Repeat("0", 9999), true},
+		{"a chunk of 3 GB", head + chunk(event1) + "c0000000\r\n" + event1, true},
+		{"a chunk beyond its size", head + chunk(event1) + "2\r\n" + event1 + "\r\n", true},
+		{"a chunk short of its size", head + chunk(event1) + "ff\r\n" + event1, true},
+		{"lines without end behind the last chunk", head + chunk(event1) + "0\r\n" + strings.Repeat("a: b\r\n", 99), true},
+	}
+	for _, tt := range tests {
+		for _, class := range []string{"chat", "order"} {
+			first := make(chan bool, 1)
+			first <- true
+			script := writes(func(seen) string {
+				select {
+				case <-first:
+					return tt.answer
+				default:
+					return whole()
+				}
+			})
+			c := start(t, engine(t, "r1", "reader", reads), engine(t, "w1", "writer", script), engine(t, "w2", "writer", script))
+			r, body, err := ask(t, c, request(class, "", "{}"))
+			switch {
+			case tt.begun:
+				if r.StatusCode != 200 || body != event1 || err != io.ErrUnexpectedEOF {
+					t.Errorf("%s, %s: %s, %q, %v", tt.name, class, r.Status, body, err)
+				}
+			case class == "order" && r.StatusCode != 502, class == "chat" && (r.StatusCode != 200 || body != event1+ending):
+				t.Errorf("%s, %s: %s, %q, %v", tt.name, class, r.Status, body, err)
+			}
+		}
+	}
+}
+
+// Other answers are good and bring more than belongs to them.
+func TestGoodAnswersWithMoreThanBelongsToThem(t *testing.T) {
+	const interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+	odd := strings.Replace(whole(), "\r\nContent", "\r\nX-Pressure: inflight=-3,queue=much\r\nContent", 1)
+	c := start(t, engine(t, "r1", "reader", func(s seen) string {
+		if s.Method == "DELETE" {
+			return freed
+		}
+		return interim + parsed + parsed
+	}), engine(t, "w1", "writer", writes(func(seen) string { return interim + interim + odd + full })))
+	for range 3 { // on connections that nothing is left on
+		if r, body, err := ask(t, c, request("order", "", "{}")); r.StatusCode != 200 || body != event1+ending || err != nil {
+			t.Errorf("%s, %q, %v", r.Status, body, err)
+		}
+	}
+}
+
 // fasthttp does not look whether its client is there while a handler runs.
 func TestClientsCloseEndsTheAttemptAndLetsGo(t *testing.T) {
 	got, ended := make(chan seen, 9), make(chan string, 9)
@@ -284,14 +352,30 @@
 		{"X-Lane: chat", "X-Lane: nosuch", "nosuch", 400},
 		{"15.000", "soon", "X-Remaining", 400},
 		{"prompt_len=64", "prompt_len=-1", "prompt_len", 400},
+		{"X-Txn: 9b1f", "X-Txn: ..", "X-Txn", 400}, // it becomes part of a path
+		{"X-Txn: 9b1f", "X-Txn: 9b1f\r\nX-Txn: 9b20", "2 times", 400},
+		{"15.000", "1e3", "X-Remaining", 400},
+		{"15.000", "99999", "X-Remaining", 400},
+		{"\r\n\r\n{}", "\r\n\r\n{\"", "JSON", 400}, // cut off by a length that is wrong
+		{"Content-Length: 2\r\n\r\n{}", "Content-Length: 0\r\n\r\n", "JSON", 400},
+		{"Content-Length: 2\r\n", "Content-Length: 2\r\nContent-Length: 2\r\n", "", 400},
+		{"Content-Length: 2\r\n", "Content-Length: -2\r\n", "", 400},
+		{"Content-Length: 2\r\n\r\n{}", "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n", "length", 400},
 		{"Content-Length: 2\r\n", "Content-Length: x\r\n", "", 400},
 		{"Content-Length: 2\r\n", "Content-Length: 999999\r\n", "", 413},
 	}
 	for _, tt := range tests {
-		r, body, _ := ask(t, start(t), strings.Replace(request("chat", "", "{}"), tt.old, tt.new, 1))
+		c := start(t)
+		r, body, _ := ask(t, c, strings.Replace(request("chat", "", "{}"), tt.old, tt.new, 1))
 		if r.StatusCode != tt.code || !strings.Contains(body, tt.reason) {
 			t.Errorf("%q: %s, %q", tt.new, r.Status, body)
 		}
+		// What follows a request with an unclear end must not be taken for another.
+		if tt.reason != "nosuch" {
+			if _, err := c.Read(make([]byte, 1)); err == nil {
+				t.Errorf("%q: the connection stays open", tt.new)
+			}
+		}
 	}
 }
 
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -1,12 +1,14 @@
 package platform
 
 import (
+	"bytes"
+	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
-	"math"
 	"net"
 	"runtime/debug"
 	"strconv"
@@ -102,6 +104,7 @@
 	req, err := parseRequest(&ctx.Request)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		ctx.SetConnectionClose() // what follows may not begin where it seems to
 		return
 	}
 	client, gone := context.WithCancel(context.Background())
@@ -200,29 +203,46 @@
 	return err
 }
 
-// parseRequest takes out the fields that decisions need.
+// parseRequest takes out the fields that decisions need. It is strict: what is
+// faulty or may be read in two ways reaches no engine.
 func parseRequest(r *fasthttp.Request) (*gateway.Request, error) {
 	h := &r.Header
+	if err := framing(h); err != nil {
+		return nil, err
+	}
 	req := &gateway.Request{Method: string(h.Method()), Target: string(h.RequestURI()), Body: r.Body()}
+	if !json.Valid(req.Body) { // cut off, or behind a length that is wrong
+		return nil, errors.New("the body is no JSON")
+	}
 	if ct := h.ContentType(); len(ct) > 0 {
 		req.Header = append(req.Header, [2]string{fasthttp.HeaderContentType, string(ct)})
 	}
-	req.ID = ashwood.RequestID(h.Peek(headerID))
-	req.Class = string(h.Peek(headerClass))
-	req.Retry = string(h.Peek(headerResent)) == "1"
-	if req.ID == "" || strings.ContainsAny(string(req.ID), "/?# \r\n") {
-		return nil, fmt.Errorf("header %s: %q is no request id", headerID, req.ID)
+	fields := map[string]string{}
+	for _, name := range []string{headerID, headerClass, headerSession, headerLeft, headerLabels, headerResent} {
+		switch values := h.PeekAll(name); len(values) {
+		case 0:
+		case 1:
+			fields[name] = string(values[0])
+		default:
+			return nil, fmt.Errorf("header %s comes %d times", name, len(values))
+		}
+	}
+	req.ID = ashwood.RequestID(fields[headerID])
+	req.Class = fields[headerClass]
+	req.Retry = fields[headerResent] == "1"
+	if strings.Trim(string(req.ID), ".") == "" || len(req.ID) > maxID || strings.ContainsFunc(string(req.ID), notInID) {
+		return nil, fmt.Errorf("header %s: %.80q is no request id", headerID, req.ID)
 	}
 	if req.Class == "" {
 		return nil, fmt.Errorf("header %s is missing", headerClass)
 	}
-	left, err := number(string(h.Peek(headerLeft)))
-	if err != nil {
-		return nil, fmt.Errorf("header %s: %w", headerLeft, err)
+	left, err := number(fields[headerLeft])
+	if err != nil || left > maxLeft {
+		return nil, fmt.Errorf("header %s: %w", headerLeft, cmp.Or(err, errTooLong))
 	}
 	req.Remaining = left * 1000
-	req.Session = gateway.Key(string(h.Peek(headerSession)))
-	for _, label := range strings.Split(string(h.Peek(headerLabels)), ",") {
+	req.Session = gateway.Key(fields[headerSession])
+	for _, label := range strings.Split(fields[headerLabels], ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(label), "=")
 		var into *float64
 		switch name {
@@ -244,10 +264,42 @@
 	return req, nil
 }
 
+const (
+	maxID   = 128
+	maxLeft = 86400 // s
+)
+
+var errTooLong = fmt.Errorf("longer than %d seconds", maxLeft)
+
+// framing refuses a request whose end can be seen in two places: its body may
+// hide another one.
+func framing(h *fasthttp.RequestHeader) error {
+	length, encoding := 0, 0
+	for line := range bytes.Lines(h.RawHeaders()) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		switch name = bytes.TrimSpace(name); {
+		case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)):
+			length++
+		case bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)):
+			encoding++
+		}
+	}
+	if length+encoding > 1 {
+		return errors.New("more than one header tells the body's length")
+	}
+	return nil
+}
+
+// notInID tells what no id has: it becomes part of a path.
+func notInID(r rune) bool {
+	return !(r >= '0' && r <= '9' || r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || strings.ContainsRune("-_.:~", r))
+}
+
+// number reads a plain decimal number, without sign or exponent.
 func number(text string) (float64, error) {
-	v, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-	if err != nil || v < 0 || v > 1e9 || math.IsNaN(v) {
-		return 0, fmt.Errorf("%q is no number from 0 to 1e9", text)
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || v > 1e9 || strings.Trim(text, "0123456789.") != "" {
+		return 0, fmt.Errorf("%.80q is no number from 0 to 1e9", text)
 	}
 	return v, nil
 }
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -360,23 +360,27 @@
 }
 
 // ParseReport reads a load report in the form name=value,name=value. What it
-// does not know it skips; it gives nil where nothing is left.
+// does not know it skips; of a report that can't be read it believes nothing.
 func ParseReport(text string) (r ashwood.Report) {
 	for _, pair := range strings.Split(text, ",") {
-		name, value, _ := strings.Cut(pair, "=")
-		known, ok := textNames[strings.TrimSpace(name)]
+		name, value, ok := strings.Cut(pair, "=")
 		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-		if !ok || err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
-			continue
+		if !ok || err != nil || v < 0 || v > maxLoad || math.IsNaN(v) {
+			return nil
 		}
-		if r == nil {
-			r = ashwood.Report{}
+		if known, ok := textNames[strings.TrimSpace(name)]; ok {
+			if r == nil {
+				r = ashwood.Report{}
+			}
+			r[known] = v
 		}
-		r[known] = v
 	}
 	return r
 }
 
+// maxLoad is beyond any figure of a load report.
+const maxLoad = 1e9
+
 func report(load map[string]*float64) ashwood.Report {
 	var r ashwood.Report
 	for wire, name := range reportNames {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"ashwood.example/ashwood"
 )
 
@@ -161,3 +163,16 @@
 		t.Errorf("empty reply: %s, %v", got, err)
 	}
 }
+
+// Engines may send reports that can't be read: nothing of such a one counts.
+func TestLoadReports(t *testing.T) {
+	two := ashwood.Report{ashwood.ReportInFlight: 7, ashwood.ReportMemory: 0.61}
+	for text, want := range map[string]ashwood.Report{
+		"inflight=7,x0=0.61,odd=3": two, " inflight=7, x0=0.61": two, "": nil, "inflight": nil,
+		"inflight=7,x0=": nil, "inflight=7,x0=-0.61": nil, "inflight=7,x0=NaN": nil, "inflight=7,x0=1e300": nil,
+	} {
+		if diff := cmp.Diff(want, ParseReport(text)); diff != "" {
+			t.Errorf("%q: %s", text, diff)
+		}
+	}
+}
