--- a/cmd/ashwood/main.go
+++ b/cmd/ashwood/main.go
@@ -31,6 +31,9 @@
 const (
 	// After SIGTERM clients keep coming for a while; what comes is served.
 	drainTime = 500 * time.Millisecond
+	// The heap may grow by this share of what lives before it is collected. At
+	// a few MB that is cheap, and the process stays small on a long day.
+	heapGrowth = 50
 	// Of the memory limit, what the runtime may use before it collects harder.
 	memoryShare = 0.75
 	// Of the sockets, what clients and engines may have; the rest is for the runtime.
@@ -62,6 +65,7 @@
 		return err
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
+	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * memoryShare * (1 << 20)))
 	hup := make(chan os.Signal, 1) // the default would end the program
 	signal.Notify(hup, syscall.SIGHUP)
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -36,7 +36,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &clientConn{Conn: nc, l: l}
+	c := &clientConn{Conn: nc, l: l, first: time.Now().Add(readTimeout)}
+	nc.SetReadDeadline(c.first)
 	l.mu.Lock()
 	old := l.oldest()
 	l.open++
@@ -82,7 +83,9 @@
 type clientConn struct {
 	net.Conn
 	l       *listener
+	first   time.Time   // by then the first request must be whole
 	reading atomic.Bool // bytes of a request have been read
+	written atomic.Bool // bytes of an answer have been
 
 	// Of the listener:
 	place  *list.Element // among those that wait; nil with a request open
@@ -118,6 +121,15 @@
 	}
 }
 
+// SetReadDeadline bounds the first request from the connection's begin on:
+// fasthttp counts anew from its first byte, and a client may send that late.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	if !c.written.Load() && t.After(c.first) {
+		t = c.first
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Close takes the connection out of the listener's count.
 func (c *clientConn) Close() error {
 	c.l.mu.Lock()
@@ -185,6 +197,7 @@
 
 // Write gives up on a client that does not read.
 func (c *clientConn) Write(p []byte) (int, error) {
+	c.written.Store(true)
 	c.Conn.SetWriteDeadline(time.Now().Add(writeWait))
 	return c.Conn.Write(p)
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -639,3 +639,24 @@
 		}
 	}
 }
+
+// A client that says nothing, half of a request or a little now and then is
+// not waited for beyond the time for a whole request.
+func TestRequestsThatNeverEndAreGivenUp(t *testing.T) {
+	_, addr := serve(t)
+	conns := []net.Conn{dial(t, addr), dial(t, addr), dial(t, addr)}
+	io.WriteString(conns[1], request("chat", "", "{}")[:200])
+	go func() {
+		for range time.Tick(50 * time.Millisecond) {
+			if _, err := io.WriteString(conns[2], "X"); err != nil {
+				return
+			}
+		}
+	}()
+	for i, c := range conns {
+		got, err := io.ReadAll(c)
+		if ne, ok := err.(net.Error); ok && ne.Timeout() || bytes.HasPrefix(got, []byte("HTTP/1.1 2")) {
+			t.Errorf("client %d: %q, %v", i, got, err)
+		}
+	}
+}
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -24,7 +24,7 @@
 
 const (
 	maxBody     = 256 << 10
-	readTimeout = 2 * time.Second // from a connection's begin, or a later request's first byte, to the whole request
+	readTimeout = 2 * time.Second // from a connection's begin, or a later request's first byte, to its last
 	idleTimeout = 5 * time.Second // between requests
 	readyPath   = "/-/ready"
 )
@@ -46,6 +46,7 @@
 		Handler: s.handle, ErrorHandler: s.malformed, Concurrency: 2 * limit, MaxRequestBodySize: maxBody,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true,
 		CloseOnShutdown: true, Logger: discard{},
+		ReduceMemoryUsage: true, // or each idle connection would keep its last request's body
 	}
 	return s
 }
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -72,5 +72,7 @@
 }
 
 // Listener wraps the one that the application listens on, for app.Listener.
-// Without it, a client that leaves before its first token is not noticed.
+// Without it, a client that leaves before its first token is not noticed, and
+// one that never sends a whole request is waited for. A connection's first
+// request has two seconds; the application's ReadTimeout bounds later ones.
 func Listener(l net.Listener) net.Listener { return platform.Listener(l) }
--- a/middleware/middleware_test.go
+++ b/middleware/middleware_test.go
@@ -1,6 +1,7 @@
 package middleware
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -109,6 +110,29 @@
 	<-ended
 }
 
+// The guards of the platform's wire hold in a Fiber application too, one that
+// sets no limits itself.
+func TestBadClientsAreGivenUp(t *testing.T) {
+	addr := strings.TrimPrefix(start(t, engine(t, "r", func(http.ResponseWriter, *http.Request) {
+		t.Error("a bad request came to an engine")
+	})), "http://")
+	const fields = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Txn: 9b1f\r\nX-Lane: chat\r\nX-Remaining: 4.5\r\nX-Labels: prompt_len=64\r\n"
+	for name, text := range map[string]string{
+		"silent": "", "half": fields, "two lengths": fields + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+		"no number": strings.Replace(fields, "4.5", "NaN", 1) + "Content-Length: 2\r\n\r\n{}",
+	} {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, text)
+		if got, err := io.ReadAll(c); bytes.HasPrefix(got, []byte("HTTP/1.1 2")) {
+			t.Errorf("%s: %q, %v", name, got, err)
+		}
+	}
+}
+
 func TestNewWantsEngines(t *testing.T) {
 	if _, err := New(context.Background(), Config{Settings: settings()}); err == nil {
 		t.Error("no error without engines and discovery")
