End a stream that has stopped at a working engine after 3.5 s, not after 30

Checked: engines that hang or vanish stop too, and an answer that a writer has taken back for want of memory goes on later; to cut that one off is a loss as well. gateway.go waited 30 s (stallWait) for all alike. What tells them apart is seen on other connections: a writer serves its queue in order, so one that has begun what was sent after the silence began will not go on with this one.

Now: from 3.5 s of silence on the module is asked every 250 ms whether the engine has begun a later send.

--- a/facade.go
+++ b/facade.go
@@ -218,6 +218,14 @@
 	return true
 }
 
+// Stopped tells whether an answer that has brought nothing since a time will not
+// go on, so that it is to be ended as broken.
+func (t *Router) Stopped(id RequestID, attempt int, since float64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sched.stopped(id, attempt, duration(since))
+}
+
 // Place tells whether a place asked for ahead is held, and gives the writer
 // to ask next, if any.
 func (t *Router) Place(id RequestID, attempt int, engine ServerID, held bool) (next Server, ok bool) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -136,7 +136,9 @@
 	releaseRetry = 50   // between tries of one at the end
 	releaseTotal = 2000 // of such tries
 	probeWait    = 250
-	stallWait    = 30000 // for the next piece of a begun answer; longer than engines hang
+	stopWait     = 3500  // of a begun answer's silence, from when on it may have stopped
+	stopLook     = 250   // between looks at it then
+	stallWait    = 30000 // for its next piece in any case; longer than engines hang
 )
 
 // Gateway routes requests.
@@ -300,10 +302,11 @@
 	ended   bool
 }
 
-// Next passes a piece on. A vanished engine's connection stays open and silent:
-// after a while the answer counts as broken.
+// Next passes a piece on. Connections may fall silent and stay open, with an
+// engine that has vanished or one that is at work: the client is not to be left
+// waiting, and the answer counts as broken.
 func (s *stream) Next() ([]byte, error) {
-	stop := s.g.clock.AfterFunc(stallWait, func() { s.cancel(ErrStalled) })
+	stop := s.watch()
 	piece, err := s.Stream.Next()
 	stop()
 	switch {
@@ -320,6 +323,35 @@
 	return piece, err
 }
 
+// watch ends the answer if it has stopped. The module knows from other answers.
+func (s *stream) watch() (stop func()) {
+	var mu sync.Mutex
+	var cancel func() bool
+	var look func()
+	over, since := false, s.g.clock.Now()
+	arm := func(ms float64) {
+		mu.Lock()
+		defer mu.Unlock()
+		if !over {
+			cancel = s.g.clock.AfterFunc(ms, look)
+		}
+	}
+	look = func() {
+		if s.g.clock.Now()-since >= stallWait || s.g.router.Stopped(s.id, s.attempt, since) {
+			s.cancel(ErrStalled)
+			return
+		}
+		arm(stopLook)
+	}
+	arm(stopWait)
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		over = true
+		cancel()
+	}
+}
+
 // Close ends the engine's stream if it has not ended.
 func (s *stream) Close() error {
 	s.end(ashwood.CalledOff)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -64,6 +64,9 @@
 	}
 	p.mu.Unlock()
 	if len(list) > 0 {
+		if s, ok := list[0].Stream.(*stalls); ok {
+			s.ctx = ctx
+		}
 		return list[0]
 	}
 	p.hanging <- struct{}{}
@@ -338,7 +341,7 @@
 	}
 }
 
-// stalls is a stream that hangs until its context ends.
+// stalls is a stream that gives one piece and then hangs until its context ends.
 type stalls struct {
 	pieces
 	ctx     context.Context
@@ -346,23 +349,63 @@
 }
 
 func (s *stalls) Next() ([]byte, error) {
+	if len(s.left) > 0 {
+		return s.pieces.Next()
+	}
 	close(s.waiting)
 	<-s.ctx.Done()
 	return nil, context.Cause(s.ctx)
 }
 
-// A vanished engine says nothing: its stream must not be held for ever.
+// A stream that falls silent is not held for ever: not long where its engine has
+// begun a later answer, and where nothing is heard of the engine, which may hang
+// or have taken the answer back into its queue, for as long as engines hang.
 func TestStalledStreamBreaks(t *testing.T) {
-	g, c := start(t, &peer{})
-	ctx, cancel := context.WithCancelCause(context.Background())
-	inner := &stalls{ctx: ctx, waiting: make(chan struct{})}
-	s := &stream{Stream: inner, g: g, ctx: context.Background(), id: "q", cancel: cancel}
-	go func() {
-		<-inner.waiting
-		c.Advance(stallWait)
-	}()
-	if _, err := s.Next(); !errors.Is(err, ErrStalled) {
-		t.Errorf("ended with %v", err)
+	for _, works := range []bool{true, false} {
+		stalled := &stalls{pieces: pieces{left: []string{"a"}}, waiting: make(chan struct{})}
+		p := &peer{place: PlaceRefused, answers: map[ashwood.ServerID][]Answer{
+			"r1": {answer(ashwood.Parsed), answer(ashwood.Parsed)},
+			"w1": {{Result: ashwood.Result{Status: ashwood.Served}, Stream: stalled}, streams(io.EOF, "b")}}}
+		g, c := start(t, p)
+		r := serve(t, g, context.Background(), "chat")
+		if piece, err := r.Stream.Next(); string(piece) != "a" || err != nil {
+			t.Fatal(string(piece), err)
+		}
+		ended := make(chan error)
+		go func() {
+			_, err := r.Stream.Next()
+			ended <- err
+		}()
+		<-stalled.waiting
+		var err error
+		if works {
+			c.Advance(1)
+			req := request("chat")
+			req.ID = "later"
+			if later, err := g.Serve(context.Background(), req); err != nil || later.Kind != Served {
+				t.Fatal(later, err)
+			}
+			c.Advance(stopWait)
+			err = <-ended
+		} else {
+			waited, over := 0.0, false
+			for !over {
+				select {
+				case err = <-ended:
+					over = true
+				default:
+					c.Advance(stopLook)
+					waited += stopLook
+				}
+			}
+			if waited < stallWait {
+				t.Errorf("ended after %v ms", waited)
+			}
+		}
+		if !errors.Is(err, ErrStalled) {
+			t.Errorf("engine works %v: ended with %v", works, err)
+		}
+		r.Stream.Close()
 	}
 }
 
--- a/scheduler.go
+++ b/scheduler.go
@@ -392,7 +392,15 @@
 	s.worked(r, a, e.Latency)
 	s.haste[r.Tenant] -= ewma * s.haste[r.Tenant]
 	a.begun, r.done, r.state, r.ahead = true, true, nil, nil
-	a.srv.queue -= a.tokens
+	a.srv.queue, a.srv.began = a.srv.queue-a.tokens, max(a.srv.began, a.sent)
+}
+
+// stopped tells of an answer, silent since a time, that will not go on although its
+// server is at work: that has begun what was sent later, and an answer that it took
+// back for want of memory would have been before it in the queue.
+func (s *Scheduler) stopped(id RequestID, n int, since time.Duration) bool {
+	r := s.reqs[id]
+	return r != nil && n < len(r.attempts) && r.attempts[n].srv.began > since
 }
 
 func (s *Scheduler) outcome(e Outcome) {
--- a/state.go
+++ b/state.go
@@ -36,6 +36,7 @@
 	hash      uint64        // of its id
 	ratio     float64       // latency against what its role takes for like work
 	alive     time.Duration // it last finished or began something
+	began     time.Duration // the latest send whose answer has begun
 	shunUntil time.Duration
 	refuses   map[[2]string]time.Duration // kinds of request, until when
 	shun      time.Duration               // the last pause after it would not take a request
