--- a/scheduler.go
+++ b/scheduler.go
@@ -392,7 +392,7 @@
 	s.worked(r, a, e.Latency)
 	s.haste[r.Tenant] -= ewma * s.haste[r.Tenant]
 	a.begun, r.done, r.state, r.ahead = true, true, nil, nil
-	a.srv.queue, a.srv.began = a.srv.queue-a.tokens, max(a.srv.began, a.sent)
+	a.srv.queue -= a.tokens
 }
 
 // stopped tells of an answer, silent since a time, that will not go on although its
@@ -468,7 +468,7 @@
 		s.pace[a.write].observe(s.now, e.Latency, a.queue)
 		s.judge(a.srv, r, false)
 	case CalledOff:
-		if !a.begun { // a client that leaves a begun answer tells nothing of the wait before it
+		if !a.begun && !a.lost { // a client that leaves a begun answer tells nothing of the wait before it
 			s.pace[a.write].observe(s.now, e.Latency, a.queue)
 		}
 	}
@@ -523,10 +523,16 @@
 // overdue looks at an attempt out far longer than peers take. A server that has
 // finished anything since is busy, and leaving would lose a place in its queue;
 // one silent all along loses trust, and the attempt is called off while another
-// can earn. With little own work there, silence is no sign: it gets its aim.
+// can earn. With little own work there, silence is no sign: it gets its aim. One
+// that has begun what was sent later has not got it: its connection fell silent.
 func (s *Scheduler) overdue(r *request, n int) {
 	a := r.attempts[n]
 	s.after(a.limit, timer{r.ID, n})
+	if a.srv.began > a.sent {
+		a.lost = true
+		s.leave(r, n)
+		return
+	}
 	if a.srv.alive > a.sent {
 		return
 	}
@@ -536,7 +542,14 @@
 	}
 	if wait < 2*a.limit {
 		s.judge(a.srv, r, false)
-	} else if s.maySend(r) && s.set.Limits.Cancel && (r.class.Effect == Pure || !a.write) {
+	} else {
+		s.leave(r, n)
+	}
+}
+
+// leave calls an attempt off where another can earn.
+func (s *Scheduler) leave(r *request, n int) {
+	if s.maySend(r) && s.set.Limits.Cancel && (r.class.Effect == Pure || !r.attempts[n].write) {
 		s.act(Cancel{r.ID, n})
 	}
 }
@@ -544,7 +557,7 @@
 // worked feeds the pace of a stage and the server's standing against it.
 func (s *Scheduler) worked(r *request, a *attempt, latency time.Duration) {
 	v, p := a.srv, s.pace[a.write]
-	v.shun, v.alive = 0, s.now
+	v.shun, v.alive, v.began = 0, s.now, max(v.began, a.sent)
 	if !s.cold(v) { // taken, not sent: a storm of rejects must not swell the cold budget
 		v.done.add(s.now, s.set.Rules.FallWindow, s.cost[r.class])
 	}
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -757,6 +757,58 @@
 	}
 }
 
+// A connection may fall silent while its engine works on. What it has begun that
+// was sent later tells; the attempt is called off without harm to the engine, but
+// for an order that may have run.
+func TestOvertakenAttempts(t *testing.T) {
+	for _, tt := range []struct {
+		name          string
+		class         string
+		writes, later bool
+		cancelled     bool
+	}{
+		{"read", "pay", false, true, true},
+		{"read, the other was sent before", "pay", false, false, false},
+		{"order written", "pay", true, true, false},
+		{"written", "chat", true, true, true},
+	} {
+		n := newNode(t, settings(), reader("r1"), writer("w1", 0))
+		send := func(id string) {
+			n.do(Request{ID: RequestID(id), Class: tt.class, PromptTokens: 320, TimeLeft: 5 * time.Second})
+			n.sentTo("r1")
+			if tt.writes {
+				n.end(id, 0, "r1", Parsed)
+				n.sentTo("w1")
+			}
+			n.now += ms
+		}
+		answer := func(id string) {
+			if tt.writes {
+				n.do(First{ID: RequestID(id), Attempt: 1, Server: "w1", Latency: 50 * ms})
+			} else {
+				n.end(id, 0, "r1", Parsed)
+			}
+		}
+		if !tt.later {
+			send("other")
+		}
+		send("lost")
+		if tt.later {
+			send("other")
+		}
+		answer("other")
+		attempt := len(n.s.reqs["lost"].attempts) - 1
+		v := n.s.reqs["lost"].attempts[attempt].srv
+		n.now += 600 * ms
+		n.s.now, n.s.out = n.now, nil
+		n.s.overdue(n.s.reqs["lost"], attempt)
+		n.out = n.s.out
+		if _, got := pick[Cancel](n); got != tt.cancelled || v.fail > 0 {
+			t.Errorf("%s: cancelled %v, trust lost %v", tt.name, got, v.fail)
+		}
+	}
+}
+
 // In overload what would come too late is refused at once, the cheaper sooner.
 func TestHopelessIsRefusedEarly(t *testing.T) {
 	set := settings()
--- a/state.go
+++ b/state.go
@@ -57,6 +57,7 @@
 	write  bool // it may answer
 	out    bool
 	begun  bool // its answer has
+	lost   bool // on the way: its server never got it
 	sent   time.Duration
 	limit  time.Duration // after which it is overdue
 	tokens float64       // to be read or fetched
