--- a/scheduler.go
+++ b/scheduler.go
@@ -22,16 +22,17 @@
 
 // Values of the guards that the design leaves open; all else follows from the settings or is learned.
 const (
-	ewma         = 0.2                    // weight of a new sample
-	failLimit    = 0.35                   // failing share, above half of peers', at which a server is ejected
-	slowLimit    = 3                      // times peers' latency at which a server is ejected
-	ejectShare   = 0.5                    // of a role's servers at most that are ejected
-	backoffFirst = time.Second            // from ejection to trial; doubles with each failed trial
-	backoffMax   = 8 * time.Second        //
-	retryPause   = 40 * time.Millisecond  // between looks for a server while a request waits
-	coldMargin   = 0.6                    // of the cold budget that is used
-	nearRoom     = 0.5                    // of the best room anywhere that a nearer writer needs
-	slowRefusal  = 20                     // of the aim, from which a refusal is of this kind alone
+	ewma         = 0.2                   // weight of a new sample
+	failLimit    = 0.35                  // failing share, above half of peers', at which a server is ejected
+	slowLimit    = 3                     // times peers' latency at which a server is ejected
+	ejectShare   = 0.5                   // of a role's servers at most that are ejected
+	backoffFirst = time.Second           // from ejection to trial; doubles with each failed trial
+	backoffMax   = 8 * time.Second       //
+	retryPause   = 40 * time.Millisecond // between looks for a server while a request waits
+	coldMargin   = 0.6                   // of the cold budget that is used
+	nearRoom     = 0.5                   // of the best room anywhere that a nearer writer needs
+	slowRefusal  = 20                    // of the aim, from which a refusal is of this kind alone
+	tollLimit    = 0.5
 	spread       = 3                      // readers for a prefix, in parts of what its share of traffic needs
 	probesAtOnce = 2                      // for one choice
 	probeWait    = 5 * time.Millisecond   // for an answer before a choice
@@ -216,7 +217,7 @@
 func (s *Scheduler) hopeless(r *request, v *server) bool {
 	least, room, queued, told := math.Inf(1), 0.0, 0.0, false
 	matched, _ := s.match(r, v)
-	wait := s.delay(v, false, r.PromptTokens-matched)
+	wait := s.delay(v, reading, r.PromptTokens-matched)
 	free := s.rooms(RoleWrite)
 	for _, w := range s.order {
 		if w.role == RoleRead {
@@ -224,12 +225,12 @@
 		} else if s.usable(r, w) && s.trusted(w) {
 			told = told || w.report != nil
 			room += free(w)
-			least = min(least, s.delay(w, true, r.PromptTokens))
+			least = min(least, s.delay(w, stageOf(true, v, w), r.PromptTokens))
 		}
 	}
 	// What is being read will want room too: here what waits, at the others what comes in while a read takes.
-	reading := s.coming.add(s.now, time.Second, 0) * s.pace[false].y / float64(time.Second)
-	room -= s.fleet(queued, reading, s.prompt)
+	each := s.coming.add(s.now, time.Second, 0) * s.pace[reading].y / float64(time.Second)
+	room -= s.fleet(queued, each, s.prompt)
 	limit := (float64(s.minAim) - s.haste[r.Tenant]) * (1 + r.class.Worth/s.topWorth) / 2
 	if q := s.quota[r.Tenant]; q > 0 { // the further over its share, the smaller its part of the aim
 		limit *= min(1, max(s.set.OverShareWorth, q/max(s.asked[r.Tenant].add(s.now, time.Second, 0), q/2)))
@@ -243,14 +244,24 @@
 
 // delay is the wait to expect behind what waits at a server. Where nothing of
 // this node does, other nodes' may: then the latest latencies speak, less with age.
-func (s *Scheduler) delay(v *server, write bool, tokens float64) float64 {
-	p := s.pace[write]
+func (s *Scheduler) delay(v *server, at stage, tokens float64) float64 {
+	p := &s.pace[at]
 	if v.queue > 0 {
 		return p.expect(v.queue + tokens)
 	}
 	return s.crowd * s.crowd * p.expect(tokens) * math.Exp(-float64(s.now-p.last)/float64(2*s.minAim))
 }
 
+func stageOf(write bool, from, to *server) stage {
+	switch {
+	case !write:
+		return reading
+	case from != nil && from.Cell != to.Cell:
+		return writingFar
+	}
+	return writing
+}
+
 func (s *Scheduler) letGo(r *request) {
 	s.act(Release{r.ID})
 	r.state, r.ahead, r.held = nil, nil, false
@@ -311,7 +322,7 @@
 
 func (s *Scheduler) send(r *request, v *server, write bool) {
 	a := &attempt{srv: v, write: write, out: true, sent: s.now, tokens: r.PromptTokens}
-	if r.state == nil {
+	if a.stage = stageOf(write, r.state, v); r.state == nil {
 		var matched float64
 		matched, a.kept = s.match(r, v)
 		a.tokens = max(r.PromptTokens-matched, 0)
@@ -338,13 +349,17 @@
 		v.sends = append(v.sends, stamp{s.now, s.cost[r.class]})
 	}
 	r.attempts, r.out, r.tried[v] = append(r.attempts, a), r.out+1, true
-	a.limit = r.class.Aim / 2
-	if p := s.pace[write]; p.n > 0 {
-		a.limit = time.Duration(p.expect(a.queue) + 4*p.dev)
-	}
-	a.limit = max(a.limit, s.set.Limits.ConnectTimeout, retryPause)
 	s.act(Attempt{ID: r.ID, Server: v.ID, Timeout: r.deadline - s.now})
-	s.after(a.limit, timer{r.ID, len(r.attempts) - 1})
+	s.after(s.limit(r, a), timer{r.ID, len(r.attempts) - 1})
+}
+
+// limit is the time after which an attempt is overdue, as like work goes now.
+func (s *Scheduler) limit(r *request, a *attempt) time.Duration {
+	limit := r.class.Aim / 2
+	if p := &s.pace[a.stage]; p.n > 0 {
+		limit = time.Duration(p.expect(a.queue) + 4*p.dev)
+	}
+	return max(limit, s.set.Limits.ConnectTimeout, retryPause)
 }
 
 // poll asks for the load that a choice depends on, and tells whether it did. Tied
@@ -400,7 +415,7 @@
 // back for want of memory would have been before it in the queue.
 func (s *Scheduler) stopped(id RequestID, n int, since time.Duration) bool {
 	r := s.reqs[id]
-	return r != nil && n < len(r.attempts) && r.attempts[n].srv.began > since
+	return r != nil && n < len(r.attempts) && r.attempts[n].srv.began[r.attempts[n].stage] > since
 }
 
 func (s *Scheduler) outcome(e Outcome) {
@@ -465,11 +480,11 @@
 	case ServerError, ConnectionLost:
 		s.judge(a.srv, r, false)
 	case NoAnswer:
-		s.pace[a.write].observe(s.now, e.Latency, a.queue)
+		s.pace[a.stage].observe(s.now, e.Latency, a.queue)
 		s.judge(a.srv, r, false)
 	case CalledOff:
 		if !a.begun && !a.lost { // a client that leaves a begun answer tells nothing of the wait before it
-			s.pace[a.write].observe(s.now, e.Latency, a.queue)
+			s.pace[a.stage].observe(s.now, e.Latency, a.queue)
 		}
 	}
 }
@@ -526,27 +541,47 @@
 // can earn. With little own work there, silence is no sign: it gets its aim. One
 // that has begun what was sent later has not got it: its connection fell silent.
 func (s *Scheduler) overdue(r *request, n int) {
-	a := r.attempts[n]
-	s.after(a.limit, timer{r.ID, n})
-	if a.srv.began > a.sent {
-		a.lost = true
+	a, limit := r.attempts[n], s.limit(r, r.attempts[n])
+	wait := s.now - a.sent
+	switch s.after(max(limit-wait, limit/2), timer{r.ID, n}); {
+	case wait < limit: // the pace has changed since
+	case a.srv.began[a.stage] > a.sent && (!a.write || wait >= 2*limit): // at writers, small states overtake
+		a.lost = !a.write
 		s.leave(r, n)
-		return
-	}
-	if a.srv.alive > a.sent {
-		return
-	}
-	silence, wait := 2*s.pace[a.write].gap*time.Duration(len(s.order)), s.now-a.sent
-	if wait < time.Duration(s.crowd*float64(min(silence, r.class.Aim))) {
-		return
-	}
-	if wait < 2*a.limit {
+	case a.srv.alive > a.sent || s.shared(a.srv):
+		if a.write { // it will have taken longer yet
+			s.pace[a.stage].observe(s.now, wait, a.queue)
+		}
+	case float64(wait) < math.Pow(s.crowd, 4)*float64(r.class.Aim):
+	case wait < 2*limit:
 		s.judge(a.srv, r, false)
-	} else {
+	default:
 		s.leave(r, n)
 	}
 }
 
+// shared tells whether the peers of a silent server with work of this node are not
+// much livelier. Leaving it would only begin anew elsewhere what is slow everywhere.
+func (s *Scheduler) shared(v *server) bool {
+	oldest := map[*server]time.Duration{}
+	for _, r := range s.reqs {
+		for _, a := range r.attempts {
+			if a.out && !a.begun && a.srv.role == v.role && (oldest[a.srv] == 0 || a.sent < oldest[a.srv]) {
+				oldest[a.srv] = a.sent
+			}
+		}
+	}
+	silence := func(v *server) time.Duration { return s.now - max(oldest[v], v.alive) }
+	var peers []time.Duration
+	for o := range oldest {
+		if o != v && o.listed {
+			peers = append(peers, silence(o))
+		}
+	}
+	slices.Sort(peers)
+	return len(peers) > 0 && silence(v) < slowLimit*peers[len(peers)/2]
+}
+
 // leave calls an attempt off where another can earn.
 func (s *Scheduler) leave(r *request, n int) {
 	if s.maySend(r) && s.set.Limits.Cancel && (r.class.Effect == Pure || !r.attempts[n].write) {
@@ -556,8 +591,8 @@
 
 // worked feeds the pace of a stage and the server's standing against it.
 func (s *Scheduler) worked(r *request, a *attempt, latency time.Duration) {
-	v, p := a.srv, s.pace[a.write]
-	v.shun, v.alive, v.began = 0, s.now, max(v.began, a.sent)
+	v, p := a.srv, &s.pace[a.stage]
+	v.shun, v.alive, v.began[a.stage] = 0, s.now, max(v.began[a.stage], a.sent)
 	if !s.cold(v) { // taken, not sent: a storm of rejects must not swell the cold budget
 		v.done.add(s.now, s.set.Rules.FallWindow, s.cost[r.class])
 	}
@@ -568,6 +603,13 @@
 	s.judge(v, r, true)
 }
 
+// toll is how much longer an answer takes to begin where its state has to leave
+// the reader's cell, less with the age of what is known of it.
+func (s *Scheduler) toll() float64 {
+	far := &s.pace[writingFar]
+	return max(far.y-s.pace[writing].y, 0) * math.Exp(-float64(s.now-far.last)/float64(4*s.minAim))
+}
+
 // judge moves the health of a server and of the path to its zone: one where all
 // fails is left as a whole. Peers are the yardstick: shared trouble ejects nobody.
 func (s *Scheduler) judge(v *server, r *request, ok bool) {
@@ -665,7 +707,7 @@
 // serves in one stage, and failing that a writer where writers read.
 func (s *Scheduler) pickReader(r *request) (v *server, write bool) {
 	if p := s.pool(r, reads); len(p) > 0 {
-		return s.byPrefix(r, p), false
+		return s.byPrefix(r, s.paired(r, p)), false
 	}
 	if p := s.pool(r, mixed); len(p) > 0 {
 		return s.byPrefix(r, p), true
@@ -676,6 +718,25 @@
 	return nil, false
 }
 
+// paired leaves of a pool the readers in whose cell a writer has room, near to the
+// best anywhere, while states that leave their cell are slow to move: all of a
+// cell's share its one link, which clogs where its writers are gone or full.
+func (s *Scheduler) paired(r *request, pool []*server) []*server {
+	room, best, cells := s.rooms(RoleWrite), 0.0, map[int]float64{}
+	for _, w := range s.order {
+		if w.role == RoleWrite && s.trusted(w) && s.usable(r, w) {
+			cells[w.Cell] = max(cells[w.Cell], room(w))
+			best = max(best, room(w))
+		}
+	}
+	unpaired := func(v *server) bool { return cells[v.Cell] < best*nearRoom }
+	near := slices.DeleteFunc(slices.Clone(pool), unpaired)
+	if len(near) == 0 || s.toll() < tollLimit*float64(s.minAim) {
+		return pool
+	}
+	return near
+}
+
 // fleet scales an own figure to all nodes: the others are taken to be like the
 // mean, and like this one only as far as that rests on more than a request or
 // so a server. With many nodes, one request in flight is chance.
@@ -819,7 +880,7 @@
 			if own, ok := wanted(v); ok {
 				x += (own - x) * math.Exp(-float64(s.now-v.reportAt)/float64(4*s.minAim))
 			}
-			room = min(v.memory-s.fleet(v.held, x*v.memory/float64(s.set.Nodes), s.prompt), v.memory*(1-x)-v.sentSince)
+			room = min(v.memory-v.held, v.memory*(1-x)-v.sentSince)
 		}
 		return min(room, room/max(v.ratio, 1))
 	}
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -809,6 +809,90 @@
 	}
 }
 
+// All writers may be slow at once, behind a link that clogs. Calling attempts off
+// would only begin anew elsewhere, and close engines that are at work.
+func TestSharedSlownessIsNoFaultOfOne(t *testing.T) {
+	for _, shared := range []bool{true, false} {
+		n := newNode(t, settings(), reader("r1"), writer("w1", 0), writer("w2", 0), writer("w3", 0))
+		n.s.pace[writing].observe(n.now, 50*ms, 320)
+		for i, id := range []string{"a", "b", "c"} {
+			n.ask(id, uint64(i), 0)
+			n.end(id, 0, "r1", Parsed)
+		}
+		out := func(id string) *attempt { return n.s.reqs[RequestID(id)].attempts[1] }
+		if out("a").srv == out("b").srv || out("b").srv == out("c").srv || out("a").srv == out("c").srv {
+			t.Fatal("not one attempt at each writer")
+		}
+		n.now += 600 * ms
+		if !shared {
+			out("b").srv.alive, out("c").srv.alive = n.now-ms, n.now-ms
+		}
+		n.s.now, n.s.out = n.now, nil
+		n.s.overdue(n.s.reqs["a"], 1)
+		n.out = n.s.out
+		if _, left := pick[Cancel](n); left == shared || out("a").srv.fail > 0 {
+			t.Errorf("shared %v: called off %v, trust lost %v", shared, left, out("a").srv.fail)
+		}
+	}
+}
+
+// What is overdue follows the pace as it is, not as it was at the send.
+func TestOverdueFollowsThePace(t *testing.T) {
+	n := newNode(t, settings(), reader("r1"), reader("r2"), writer("w1", 0))
+	n.ask("a", 1, 0)
+	for range 30 {
+		n.s.pace[reading].observe(n.now, 2*time.Second, 320)
+	}
+	n.now += 1500 * ms
+	n.s.now, n.s.out = n.now, nil
+	n.s.overdue(n.s.reqs["a"], 0)
+	n.out = n.s.out
+	lacks[Cancel](n)
+	wants[SetTimer](n)
+	if r := n.s.servers["r1"].fail + n.s.servers["r2"].fail; r > 0 {
+		t.Errorf("trust lost: %v", r)
+	}
+}
+
+// While states are slow to leave a cell, reads go where a writer of the cell has
+// room; else a prefix stays where it is known.
+func TestReadsStayNearWritersWhileMovesAreSlow(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		far  time.Duration
+		age  time.Duration
+		used map[ServerID]float64
+		want string
+	}{
+		{"moves are fast", 60 * ms, 0, nil, "r1"},
+		{"moves are slow", 2 * time.Second, 0, nil, "r2"},
+		{"moves were slow long ago", 2 * time.Second, time.Minute, nil, "r1"},
+		{"its writer is full", 2 * time.Second, 0, map[ServerID]float64{"w2": 0.9, "w3": 0.1}, "r3"},
+	} {
+		list := []Server{reader("r1"), reader("r2"), reader("r3"), writer("w2", 2), writer("w3", 3)}
+		for i := range 3 {
+			list[i].Cell = i + 1 // r1 has no writer beside it
+		}
+		n := newNode(t, settings(), list...)
+		known := &request{Request: Request{Session: 1, Prefix: 7, PrefixTokens: 160, PromptTokens: 320}}
+		n.s.pace[writing].observe(n.now, 50*ms, 320)
+		n.s.pace[writingFar].observe(n.now, tt.far, 320)
+		n.now += tt.age
+		if tt.used == nil {
+			tt.used = map[ServerID]float64{"w2": 0.1, "w3": 0.9}
+		}
+		for id, x := range tt.used {
+			n.s.servers[id].report, n.s.servers[id].reportAt = Report{ReportMemory: x}, n.now
+		}
+		n.s.now = n.now
+		n.s.record(known, n.s.servers["r1"], true)
+		n.ask("a", 1, 7)
+		if a, _ := pick[Attempt](n); string(a.Server) != tt.want {
+			t.Errorf("%s: sent to %q, want %s", tt.name, a.Server, tt.want)
+		}
+	}
+}
+
 // In overload what would come too late is refused at once, the cheaper sooner.
 func TestHopelessIsRefusedEarly(t *testing.T) {
 	set := settings()
@@ -828,7 +912,7 @@
 		n := newNode(t, set, reader("r1"), writer("w1", 0))
 		n.s.servers["r1"].queue = 1000
 		for i := 0; i < 10; i++ {
-			n.s.pace[false].observe(0, tt.wait, 1000)
+			n.s.pace[reading].observe(0, tt.wait, 1000)
 		}
 		n.do(Request{ID: "a", Class: tt.class, Session: 1, PromptTokens: 16, TimeLeft: 5 * time.Second})
 		if _, got := pick[Refuse](n); got != tt.refused {
@@ -871,7 +955,7 @@
 	}
 	n.s.servers["r1"].queue = 1000
 	for i := 0; i < 10; i++ {
-		n.s.pace[false].observe(n.now, 500*ms, 1000)
+		n.s.pace[reading].observe(n.now, 500*ms, 1000)
 	}
 	for tenant, want := range map[string]bool{"hasty": true, "calm": false} {
 		n.do(Request{ID: RequestID(tenant), Class: "chat", Tenant: tenant, Session: 1, PromptTokens: 16,
@@ -888,7 +972,7 @@
 	n := newNode(t, set, reader("r1"), writer("w1", 0))
 	n.s.servers["r1"].queue = 1000
 	for i := 0; i < 10; i++ {
-		n.s.pace[false].observe(0, 800*ms, 1000)
+		n.s.pace[reading].observe(0, 800*ms, 1000)
 		n.s.asked["big"].add(n.now, time.Second, 5)
 	}
 	for tenant, want := range map[string]bool{"big": true, "small": false} {
@@ -1031,9 +1115,9 @@
 	n.ask("a", 1, 0)
 	n.end("a", 0, "r1", Parsed)
 	n.do(First{ID: "a", Attempt: 1, Server: "w1", Latency: 10 * ms})
-	before := *n.s.pace[true]
+	before := n.s.pace[writing]
 	n.do(Outcome{ID: "a", Attempt: 1, Server: "w1", Status: CalledOff, Done: true, Latency: time.Minute})
-	if *n.s.pace[true] != before || len(n.s.reqs) != 0 {
-		t.Errorf("pace %+v, was %+v; left %v", *n.s.pace[true], before, n.s.reqs)
+	if n.s.pace[writing] != before || len(n.s.reqs) != 0 {
+		t.Errorf("pace %+v, was %+v; left %v", n.s.pace[writing], before, n.s.reqs)
 	}
 }
--- a/state.go
+++ b/state.go
@@ -33,10 +33,10 @@
 	reportAt  time.Duration
 	polled    time.Duration // last asked for it
 	runs      map[runKey]*list.Element
-	hash      uint64        // of its id
-	ratio     float64       // latency against what its role takes for like work
-	alive     time.Duration // it last finished or began something
-	began     time.Duration // the latest send whose answer has begun
+	hash      uint64                // of its id
+	ratio     float64               // latency against what its role takes for like work
+	alive     time.Duration         // it last finished or began something
+	began     [stages]time.Duration // the latest send that it has begun to answer
 	shunUntil time.Duration
 	refuses   map[[2]string]time.Duration // kinds of request, until when
 	shun      time.Duration               // the last pause after it would not take a request
@@ -51,6 +51,16 @@
 	cost float64
 }
 
+// stage is what an attempt does.
+type stage int
+
+const (
+	reading    stage = iota
+	writing          // with a state from the same cell, or none
+	writingFar       // the state has to leave the reader's cell
+	stages
+)
+
 // attempt is one send.
 type attempt struct {
 	srv    *server
@@ -58,11 +68,11 @@
 	out    bool
 	begun  bool // its answer has
 	lost   bool // on the way: its server never got it
+	stage  stage
 	sent   time.Duration
-	limit  time.Duration // after which it is overdue
-	tokens float64       // to be read or fetched
-	queue  float64       // own tokens waiting there, these included
-	kept   float64       // tokens that the table was sure of
+	tokens float64 // to be read or fetched
+	queue  float64 // own tokens waiting there, these included
+	kept   float64 // tokens that the table was sure of
 }
 
 type request struct {
@@ -127,9 +137,9 @@
 	reqs     map[RequestID]*request
 	timers   map[uint64]timer
 	next     uint64
-	table    list.List      // of *prefixRun, latest used first
-	blocks   int            // in the table
-	pace     map[bool]*pace // of reads and of writes
+	table    list.List // of *prefixRun, latest used first
+	blocks   int       // in the table
+	pace     [stages]pace
 	cost     map[*Class]float64
 	prompt   float64 // tokens of a prompt
 	coming   rate    // tokens of the prompts that come in
@@ -225,7 +235,7 @@
 	return &Scheduler{
 		set: set, rng: rand.New(rand.NewSource(seed)), classes: map[string]*Class{}, quota: map[string]float64{},
 		servers: map[ServerID]*server{}, zones: map[string]*health{}, reqs: map[RequestID]*request{},
-		timers: map[uint64]timer{}, pace: map[bool]*pace{false: {}, true: {}}, cost: map[*Class]float64{},
+		timers: map[uint64]timer{}, cost: map[*Class]float64{},
 		asked: map[string]*rate{}, haste: map[string]float64{},
 	}
 }
