--- a/facade.go
+++ b/facade.go
@@ -58,6 +58,7 @@
 	Attempt int
 	Engine  Server
 	Reads   bool            // Engine is a reader: it answers with a read state
+	Once    bool            // it may have an effect, and may then not be sent again
 	Timeout float64         // ms to wait for the first token
 	Context context.Context // ends when the attempt is called off or the client leaves
 	Place   Server          // a writer to ask ahead for a place; no ID = none
@@ -378,8 +379,9 @@
 	f := t.flights[a.ID]
 	ctx, cancel := context.WithCancel(f.ctx)
 	v := t.sched.servers[a.Server]
+	once := v.role != RoleRead && t.sched.reqs[a.ID].class.Effect == SideEffect
 	f.step = Step{
-		Kind: StepSend, Attempt: len(f.sent), Engine: v.Server, Reads: v.role == RoleRead,
+		Kind: StepSend, Attempt: len(f.sent), Engine: v.Server, Reads: v.role == RoleRead, Once: once,
 		Timeout: millis(a.Timeout), Context: ctx,
 	}
 	f.sent, f.cancel, f.out = append(f.sent, t.clock.Now()), append(f.cancel, cancel), f.out+1
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,6 +89,7 @@
 	*Request
 	Engine    ashwood.Server
 	Reads     bool        // a reader, which answers with a read state
+	Once      bool        // it may have an effect: not to be risked on a connection that may be dead
 	Remaining float64     // ms that the gateway will wait for the first token
 	Ready     func() bool // asked right before the first byte is written; false forbids it
 	Sent      func()      // called right after the last byte has been
@@ -238,7 +239,7 @@
 	actx, cancel := context.WithCancelCause(step.Context)
 	stop := g.clock.AfterFunc(step.Timeout, func() { cancel(ErrTimedOut) })
 	ans := g.transport.Send(actx, Attempt{
-		Request: req, Engine: step.Engine, Reads: step.Reads, Remaining: step.Timeout,
+		Request: req, Engine: step.Engine, Reads: step.Reads, Once: step.Once, Remaining: step.Timeout,
 		Ready: func() bool { return actx.Err() == nil && g.router.Accepts(step.Engine.ID) },
 		Sent: func() {
 			h.add(step.Engine)
--- a/internal/platform/engines.go
+++ b/internal/platform/engines.go
@@ -12,6 +12,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -70,9 +71,10 @@
 // exchange writes one request and reads the head of its answer. The caller
 // owns the connection unless there is an error; wrote tells whether the last
 // byte left. Only before that does an error prove that the engine never ran it.
-func (e *Engines) exchange(ctx context.Context, addr string, head *fasthttp.RequestHeader, body []byte,
+// A kept connection may be dead unnoticed: what may be sent once goes on a new one.
+func (e *Engines) exchange(ctx context.Context, addr string, once bool, head *fasthttp.RequestHeader, body []byte,
 	ready func() bool, sent func(), answer *fasthttp.ResponseHeader) (c *conn, wrote bool, err error) {
-	c, err = e.pool.get(ctx, addr)
+	c, err = e.pool.get(ctx, addr, once)
 	if err != nil {
 		return nil, false, err
 	}
@@ -82,6 +84,9 @@
 			err = context.Cause(ctx)
 		}
 		if err != nil {
+			if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) {
+				e.pool.broke(c)
+			}
 			e.pool.discard(c)
 			c = nil
 		}
@@ -150,7 +155,7 @@
 	h.Set(headerLeft, strconv.FormatFloat(a.Remaining/1000, 'f', 3, 64))
 	h.SetContentLength(len(a.Body))
 	var head fasthttp.ResponseHeader
-	c, wrote, err := e.exchange(ctx, a.Engine.Address, h, a.Body, a.Ready, a.Sent, &head)
+	c, wrote, err := e.exchange(ctx, a.Engine.Address, a.Once, h, a.Body, a.Ready, a.Sent, &head)
 	if err != nil {
 		return failed(ctx, wrote, err)
 	}
@@ -240,7 +245,7 @@
 	var head fasthttp.ResponseHeader
 	h := header(fasthttp.MethodPost, roomsPath+string(id), engine.Address)
 	h.SetContentLength(0)
-	c, wrote, err := e.exchange(ctx, engine.Address, h, nil, ready, never, &head)
+	c, wrote, err := e.exchange(ctx, engine.Address, false, h, nil, ready, never, &head)
 	if err == nil {
 		_, err = e.drain(ctx, c, &head)
 	}
@@ -257,18 +262,15 @@
 	return gateway.PlaceUnknown
 }
 
-// Release lets go of what an engine holds for a request. The call counts once
-// its last byte is there, answered or not.
+// Release lets go of what an engine holds for a request. Without an answer the
+// call may have been written to a connection that was dead, and is to be made again.
 func (e *Engines) Release(ctx context.Context, engine ashwood.Server, id ashwood.RequestID) error {
 	var head fasthttp.ResponseHeader
 	h := header(fasthttp.MethodDelete, roomsPath+string(id), engine.Address)
-	c, wrote, err := e.exchange(ctx, engine.Address, h, nil, always, never, &head)
+	c, _, err := e.exchange(ctx, engine.Address, false, h, nil, always, never, &head)
 	if err == nil {
 		e.drain(ctx, c, &head)
 	}
-	if wrote {
-		return nil
-	}
 	return err
 }
 
@@ -276,7 +278,7 @@
 func (e *Engines) Probe(ctx context.Context, engine ashwood.Server) (ashwood.Status, ashwood.Report) {
 	var head fasthttp.ResponseHeader
 	h := header(fasthttp.MethodGet, loadPath, engine.Address)
-	c, wrote, err := e.exchange(ctx, engine.Address, h, nil, always, never, &head)
+	c, wrote, err := e.exchange(ctx, engine.Address, false, h, nil, always, never, &head)
 	var body []byte
 	if err == nil {
 		body, err = e.drain(ctx, c, &head)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -425,7 +425,7 @@
 	p := newPool(c, 2000, 1000, 2)
 	get := func(addr string) *conn {
 		t.Helper()
-		got, err := p.get(context.Background(), addr)
+		got, err := p.get(context.Background(), addr, false)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -433,7 +433,7 @@
 	}
 	first, second := listen(t).Addr().String(), listen(t).Addr().String()
 	a, b := get(first), get(first)
-	if _, err := p.get(context.Background(), second); !errors.Is(err, errTooMany) {
+	if _, err := p.get(context.Background(), second, false); !errors.Is(err, errTooMany) {
 		t.Errorf("a third connection: %v", err)
 	}
 	p.put(a)
@@ -660,3 +660,78 @@
 		}
 	}
 }
+
+// A kept connection may be dead unnoticed, and an order that is lost on it must
+// not be sent again: it goes to its writer on a new one.
+func TestOrdersGoOnNewConnections(t *testing.T) {
+	conns := map[net.Conn]bool{}
+	c := start(t, engine(t, "r1", "reader", reads), engine(t, "w1", "writer", func(s seen) string {
+		if s.Method == "DELETE" || strings.HasPrefix(s.Target, roomsPath) {
+			return freed
+		}
+		conns[s.conn] = true
+		return whole()
+	}))
+	for range 3 {
+		if r, _, err := ask(t, c, request("order", "", "{}")); r.StatusCode != 200 || err != nil {
+			t.Errorf("%s, %v", r.Status, err)
+		}
+	}
+	if len(conns) != 3 {
+		t.Errorf("three orders came on %d connections", len(conns))
+	}
+}
+
+// A release that was written to a dead connection is made again.
+func TestReleaseIsRepeatedUntilAnswered(t *testing.T) {
+	e, calls := NewEngines(settings(), clock.System(), 9), 0
+	v := engine(t, "w1", "writer", func(seen) string {
+		calls++
+		if calls == 1 {
+			return "\x00"
+		}
+		return freed
+	})
+	if err := e.Release(context.Background(), v, "q"); err == nil {
+		t.Error("a release without an answer counts")
+	}
+	if err := e.Release(context.Background(), v, "q"); err != nil {
+		t.Error(err)
+	}
+}
+
+// Where machines forget connections, most of the kept ones are dead: once one has
+// shown, none is kept for a while.
+func TestNoConnectionIsKeptAfterOneHasDied(t *testing.T) {
+	c := clock.NewManual(1)
+	p := newPool(c, 2000, 9000, 9)
+	addr := listen(t).Addr().String()
+	get := func() *conn {
+		t.Helper()
+		got, err := p.get(context.Background(), addr, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return got
+	}
+	a, b := get(), get()
+	p.broke(b) // a new one tells nothing of the kept
+	p.put(a)
+	p.put(b)
+	if got := get(); got != b {
+		t.Fatal("no connection is kept")
+	}
+	p.broke(b)
+	p.discard(b)
+	fresh := get()
+	if fresh == a {
+		t.Error("a kept connection is used after another had died")
+	}
+	if p.put(fresh); p.open != 1 {
+		t.Errorf("%d open: a connection is kept", p.open)
+	}
+	c.Advance(doubtTime)
+	if get() != a {
+		t.Error("connections are not used again in time")
+	}
+}
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -20,7 +20,7 @@
 	net.Conn
 	br   *bufio.Reader
 	addr string
-	idle float64 // since when
+	idle float64 // since when; 0 = never yet
 }
 
 // pool keeps connections to engines. It never sends anything: whoever takes a
@@ -32,19 +32,24 @@
 	maxIdle float64 // ms after which an idle connection is closed, well before the engine does
 	max     int     // connections open at once
 
-	mu   sync.Mutex
-	idle map[string][]*conn // by address, the latest used last
-	open int
+	mu    sync.Mutex
+	idle  map[string][]*conn // by address, the latest used last
+	open  int
+	doubt float64 // until when no connection is kept
 }
 
+// doubtTime is for how long no connection is kept, in ms, after a kept one had
+// died unnoticed: where machines forget connections, most of the kept are dead.
+const doubtTime = 2000.0
+
 func newPool(c clock.Clock, connect, maxIdle float64, limit int) *pool {
 	return &pool{clock: c, connect: connect, maxIdle: maxIdle, max: limit, idle: map[string][]*conn{}}
 }
 
 // get gives an idle connection that the engine has not closed, or a new one.
-func (p *pool) get(ctx context.Context, addr string) (*conn, error) {
+func (p *pool) get(ctx context.Context, addr string, fresh bool) (*conn, error) {
 	for {
-		c, err := p.reuse(addr)
+		c, err := p.reuse(addr, fresh)
 		if err != nil {
 			return nil, err
 		}
@@ -59,10 +64,10 @@
 }
 
 // reuse takes an idle connection, or counts a new one, which it leaves to dial.
-func (p *pool) reuse(addr string) (*conn, error) {
+func (p *pool) reuse(addr string, fresh bool) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if list := p.idle[addr]; len(list) > 0 {
+	if list := p.idle[addr]; len(list) > 0 && !fresh && p.clock.Now() >= p.doubt {
 		c := list[len(list)-1]
 		p.idle[addr] = list[:len(list)-1]
 		return c, nil
@@ -94,10 +99,23 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.idle = p.clock.Now()
+	if c.idle = p.clock.Now(); c.idle < p.doubt {
+		c.Close()
+		p.open--
+		return
+	}
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
+// broke tells of a connection that ended in place of an answer.
+func (p *pool) broke(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.idle > 0 {
+		p.doubt = p.clock.Now() + doubtTime
+	}
+}
+
 // discard closes a connection.
 func (p *pool) discard(c *conn) {
 	c.Close()
--- a/scheduler.go
+++ b/scheduler.go
@@ -475,6 +475,9 @@
 			s.shun(a.srv)
 		}
 	case NoConnection:
+		if r.held && a.srv == r.ahead { // the state may have moved there: once more
+			r.tried[a.srv], r.held = false, false
+		}
 		s.shun(a.srv)
 		s.judge(a.srv, r, false)
 	case ServerError, ConnectionLost:
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -279,6 +279,23 @@
 	}
 }
 
+// A connection may fail while the writer that holds the place, and the state that
+// has moved there, is well: it is tried once more before the others, which lack it.
+func TestHolderIsTriedOnceMore(t *testing.T) {
+	n := newNode(t, settings(), reader("r1"), writer("w1", 0), writer("w2", 0))
+	n.ask("a", 1, 0)
+	place, _ := pick[Ahead](n)
+	n.do(PlaceNote{ID: "a", Server: place.Server, Held: true})
+	n.end("a", 0, "r1", Parsed)
+	n.sentTo(string(place.Server))
+	n.end("a", 1, string(place.Server), NoConnection)
+	n.sentTo(string(place.Server))
+	n.end("a", 2, string(place.Server), NoConnection)
+	if b, _ := pick[Attempt](n); b.Server == place.Server || b.Server == "" {
+		t.Errorf("then sent to %q", b.Server)
+	}
+}
+
 // A refused place leads to the next roomiest writer, once.
 func TestRefusedPlaceTriesTheNextOnce(t *testing.T) {
 	n := newNode(t, settings(), reader("r1"), writer("w1", 0), writer("w2", 0), writer("w3", 0))
