Watch discovery for 2 s at a time: silent watches and cut lists broke the drain rule

Checked: a watch asked to wait 10 s and was given up after 11.5 s (discovery.go, watchHold, watchSlack), also in the middle of a list whose first half had come. What discovery has to tell counts as told 6 s later, with a grace of 1 s.

Now: watches wait 2 s and are given up after 3.

--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	watchHold  = 10000.0 // ms that a watch may wait
-	watchSlack = 1500.0  // and how much later its answer is given up
+	// Watches may fall silent and lists stop short, on connections that stay open.
+	// What discovery has to tell counts as told all the same: short waits.
+	watchHold  = 2000.0  // ms that a watch may wait
+	watchSlack = 1000.0  // and how much later its answer is given up
 	watchPause = 100.0   // after a failed call; a watch goes on for 200
 	maxList    = 4 << 20 // bytes of a list
 )
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -545,7 +545,7 @@
 	got := []news{<-told, <-told}
 	var targets []string
 	for range 6 {
-		targets = append(targets, strings.TrimSuffix(<-asked, "&hold_ms=10000"))
+		targets = append(targets, strings.TrimSuffix(<-asked, "&hold_ms=2000"))
 	}
 	want := []news{{ashwood.ListPatch, ashwood.StateFading}, {ashwood.ListWhole, ashwood.StateOn}}
 	const from = "/api/targets?from="
@@ -602,7 +602,7 @@
 	if b := <-told; b != "b" {
 		t.Errorf("told of %s", b)
 	}
-	const from = " /api/targets?from=3&hold_ms=10000"
+	const from = " /api/targets?from=3&hold_ms=2000"
 	want := []string{"old /api/targets", "old" + from, "new /api/targets", "new" + from}
 	if diff := cmp.Diff(want, targets); diff != "" {
 		t.Error(diff)
@@ -735,3 +735,30 @@
 		t.Error("connections are not used again in time")
 	}
 }
+
+// A watch may fall silent, or its list stop short, on a connection that stays
+// open. Both are asked for again soon, and what had come of a list is not believed.
+func TestDiscoveryThatStopsIsAskedAgain(t *testing.T) {
+	list := func(state string) string {
+		b := fmt.Sprintf(`{"generation":8,"reset":false,"instances":[{"instanceId":"s","hostPort":"a:1","lifecycle":%q}]}`, state)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(b), b)
+	}
+	answers := []string{"", list("up")[:90], list("draining")}
+	peer := engine(t, "d", "", func(seen) string {
+		a := answers[0]
+		if len(answers) > 1 {
+			answers = answers[1:]
+		}
+		return a
+	})
+	told := make(chan ashwood.ServerState, 99)
+	d := NewDiscovery(peer.Address, clock.System(), slog.New(slog.DiscardHandler), func(_ ashwood.ListForm, l []ashwood.Server) {
+		told <- l[0].State
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go d.Run(ctx, 7, true)
+	if got := <-told; got != ashwood.StateFading {
+		t.Errorf("told of state %v", got)
+	}
+}
