Spread calls for lists over the fleet, with back-off and jitter drawn from the seed

Those answered 503 came again after a fixed 100 ms (internal/platform/discovery.go, watchPause) and kept discovery busy; 47 of 80 never got in before the release, and of 56 restarted gateways 2 did. News of removed engines came at 15 and 23 s or not at all. Ruled out: longer holds alone (14 of 80 got in), plain list calls without a watch (none after the first).

Change: the first call and those after a failure wait a time that follows from the number of gateways and the seed (internal/pacing): 3.2 s for 80, doubling to 10 s; 160 ms for 4, doubling to 640 ms. Watches go on at once as before.

Debug logs now tell probes, places, list calls, news and why a request was given up; two estimators moved to internal/trend, unchanged.

--- a/facade.go
+++ b/facade.go
@@ -64,6 +64,7 @@
 	Place   Server          // a writer to ask ahead for a place; no ID = none
 
 	RetryAfter float64 // with StepRefuse: ms to stay away, 0 = no advice
+	Why        Why     // with StepRefuse and StepFail
 }
 
 // Result tells how an attempt ended.
@@ -358,9 +359,9 @@
 				f.cancel[a.Attempt]()
 			}
 		case Refuse:
-			t.final(a.ID, Step{Kind: StepRefuse, RetryAfter: millis(a.RetryAfter)})
+			t.final(a.ID, Step{Kind: StepRefuse, RetryAfter: millis(a.RetryAfter), Why: a.Why})
 		case Fail:
-			t.final(a.ID, Step{Kind: StepFail})
+			t.final(a.ID, Step{Kind: StepFail, Why: a.Why})
 		case SetTimer:
 			heap.Push(&t.timers, a)
 			if t.timers[0] == a {
--- a/facade_test.go
+++ b/facade_test.go
@@ -77,7 +77,7 @@
 	for wait := r.Tick(); wait < 1e9; wait = r.Tick() {
 		c.now += wait
 	}
-	same(t, Step{Kind: StepRefuse, Release: true, RetryAfter: 400}, <-steps)
+	same(t, Step{Kind: StepRefuse, Release: true, RetryAfter: 400, Why: WhyNoReader}, <-steps)
 	if c.now > 1e12+3000 {
 		t.Errorf("refused after %v ms", c.now-1e12)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,8 +87,9 @@
 type Reply struct {
 	Kind       Kind
 	Stream     Stream
-	RetryAfter float64 // ms, with Refused; 0 = no advice
-	Err        error   // of the last attempt, where an engine gave one
+	RetryAfter float64     // ms, with Refused; 0 = no advice
+	Why        ashwood.Why // with Refused and Failed
+	Err        error       // of the last attempt, where an engine gave one
 }
 
 // Stream is an answer on its way. It is used by one goroutine.
@@ -209,7 +210,14 @@
 }
 
 // Update tells the gateway of news of the list of engines.
-func (g *Gateway) Update(form ashwood.ListForm, list []ashwood.Server) { g.router.Update(form, list) }
+func (g *Gateway) Update(form ashwood.ListForm, list []ashwood.Server) {
+	g.router.Update(form, list)
+	if g.log.Enabled(context.Background(), slog.LevelDebug) {
+		for _, v := range list {
+			g.log.Debug("news", "engine", v.ID, "kind", v.Kind, "zone", v.Zone, "cell", v.Cell, "state", int(v.State), "started", clock.Millis(v.Started))
+		}
+	}
+}
 
 // Pause is how long in ms a client is to stay away that a front must refuse by
 // itself, for want of room; 0 = no advice.
@@ -224,7 +232,8 @@
 	if s, ok := reply.Stream.(*stream); ok {
 		s.class, s.begun = req.Class, begun
 	}
-	g.log.Debug("answer", "id", req.ID, "class", req.Class, "kind", reply.Kind, "ms", g.clock.Now()-begun, "err", err)
+	g.log.Debug("answer", "id", req.ID, "class", req.Class, "kind", reply.Kind, "ms", g.clock.Now()-begun,
+		"why", reply.Why, "err", err)
 	return reply, err
 }
 
@@ -262,9 +271,9 @@
 		case ashwood.StepRelease:
 			step = g.router.Next(req.ID)
 		case ashwood.StepRefuse:
-			return Reply{Kind: Refused, RetryAfter: step.RetryAfter, Err: last}, nil
+			return Reply{Kind: Refused, RetryAfter: step.RetryAfter, Why: step.Why, Err: last}, nil
 		case ashwood.StepFail:
-			return Reply{Kind: Failed, Err: last}, nil
+			return Reply{Kind: Failed, Why: step.Why, Err: last}, nil
 		default:
 			return Reply{Kind: Gone, Err: ErrClientGone}, nil
 		}
@@ -331,7 +340,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer g.clock.AfterFunc(probeWait, cancel)()
+	begun := g.clock.Now()
 	status, report := g.transport.Probe(ctx, v)
+	g.log.Debug("probe", "engine", v.ID, "kind", v.Kind, "status", status, "ms", g.clock.Now()-begun, "report", report)
 	g.router.Probed(v.ID, status, report)
 }
 
@@ -483,6 +494,7 @@
 	for v, ok := step.Place, true; ok; {
 		ready := func() bool { return reading.Err() == nil && h.g.router.Accepts(v.ID) }
 		place := h.g.transport.Reserve(ctx, v, h.id, ready)
+		h.g.log.Debug("place", "id", h.id, "engine", v.ID, "answer", int(place))
 		switch {
 		case place != PlaceHeld && place != PlaceUnknown:
 		case reading.Err() != nil:
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand"
 	"net"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/internal/clock"
+	"ashwood.example/ashwood/internal/pacing"
 	"ashwood.example/ashwood/internal/wire"
 )
 
@@ -22,6 +24,12 @@
 	watchSlack = 1000.0  // and how much later its answer is given up
 	watchPause = 100.0   // after a failed call; a watch goes on for 200
 	maxList    = 4 << 20 // bytes of a list
+
+	// One discovery serves all gateways. What eighty ask again every 100 ms keeps it
+	// busy with calls that it fails, so that none is answered any more: calls that
+	// are not part of a watch, first ones and those after a failure, are spread out.
+	callEvery = 40.0    // ms between such calls of all gateways
+	pauseMost = 10000.0 // ms between those of one
 )
 
 // Discovery follows the list of engines.
@@ -31,6 +39,7 @@
 	update func(ashwood.ListForm, []ashwood.Server)
 	from   int64 // the version in hand
 	inHand bool
+	pace   pacing.Backoff
 
 	mu    sync.Mutex
 	addr  string
@@ -39,7 +48,16 @@
 
 // NewDiscovery makes a follower.
 func NewDiscovery(addr string, c clock.Clock, log *slog.Logger) *Discovery {
-	return &Discovery{addr: addr, clock: c, log: log, moved: func() {}}
+	d := &Discovery{addr: addr, clock: c, log: log, moved: func() {}}
+	d.Fleet(1, 0)
+	return d
+}
+
+// Fleet says how many gateways ask the same discovery, and the seed from which
+// this one's waits are drawn. It is to be called before Run.
+func (d *Discovery) Fleet(nodes int, seed int64) {
+	first := max(watchPause, float64(nodes)*callEvery)
+	d.pace = pacing.Backoff{First: first, Last: min(4*first, max(first, pauseMost)), Rand: rand.New(rand.NewSource(seed))}
 }
 
 // Known says which version of the list is in hand, so that Run watches from there.
@@ -91,9 +109,15 @@
 			return legConn{c, context.AfterFunc(ctx, func() { c.Close() })}, nil
 		},
 	}
+	if inHand { // gateways that start together with lists in hand need not ask together
+		d.wait(ctx, d.pace.Rand.Float64()*d.pace.First)
+	}
 	failed := 0 // calls in a row; an outage is logged when it begins and ends
 	for ctx.Err() == nil {
+		begun := d.clock.Now()
 		t, err := askList(client, from, inHand)
+		d.log.Debug("list", "from", from, "watch", inHand, "generation", t.Generation, "whole", t.Whole, "entries", len(t.Engines),
+			"ms", d.clock.Now()-begun, "err", err)
 		if ctx.Err() != nil {
 			return
 		}
@@ -101,19 +125,14 @@
 			if failed++; failed == 1 {
 				d.log.Warn("discovery: no answer, the list in hand stays", "err", err)
 			}
-			again := make(chan struct{})
-			stop := d.clock.AfterFunc(watchPause, func() { close(again) })
-			select {
-			case <-again:
-			case <-ctx.Done():
-				stop()
-			}
+			d.wait(ctx, d.pace.Next())
 			continue
 		}
 		if failed > 0 {
 			d.log.Info("discovery: it answers again", "failed", failed)
 			failed = 0
 		}
+		d.pace.Reset()
 		switch {
 		case t.Whole:
 			d.update(ashwood.ListWhole, t.Engines)
@@ -124,6 +143,17 @@
 	}
 }
 
+// wait lets some ms go by, or less if ctx ends.
+func (d *Discovery) wait(ctx context.Context, ms float64) {
+	over := make(chan struct{})
+	stop := d.clock.AfterFunc(ms, func() { close(over) })
+	select {
+	case <-over:
+	case <-ctx.Done():
+		stop()
+	}
+}
+
 // legConn is closed with its leg: a watch waits long, and fasthttp has no way
 // to call one off.
 type legConn struct {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -769,6 +769,63 @@
 	}
 }
 
+// hasty is a clock on which waits are over at once, and are told.
+type hasty struct {
+	clock.Clock
+	waits chan float64
+}
+
+func (h hasty) AfterFunc(ms float64, f func()) func() bool {
+	h.waits <- ms
+	return h.Clock.AfterFunc(0, f)
+}
+
+// Discovery serves a whole fleet. First calls and those after failures come
+// at waits that follow from its size and the seed; few gateways wait little.
+func TestCallsForListsAreSpreadOverTheFleet(t *testing.T) {
+	const oops, list = "HTTP/1.1 503 Overbooked\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 45\r\n\r\n" + `{"generation":8,"reset":false,"instances":[]}`
+	for _, tt := range []struct {
+		nodes int
+		most  []float64 // ms of the first call's wait, then after failures, a success, a failure
+	}{
+		{80, []float64{3200, 3200, 6400, 10000, 10000, 3200}},
+		{4, []float64{160, 160, 320, 640, 640, 160}},
+		{1, []float64{100, 100, 200, 400, 400, 100}},
+	} {
+		var first []float64
+		for seed := range int64(2) {
+			answers := []string{oops, oops, oops, oops, list, oops, ""}
+			peer := engine(t, "d", "", func(seen) string {
+				a := answers[0]
+				answers = answers[1:]
+				return a
+			})
+			c := hasty{clock.System(), make(chan float64, 9)}
+			d := NewDiscovery(peer.Address, c, slog.New(slog.DiscardHandler))
+			d.Known(7)
+			d.Fleet(tt.nodes, seed)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go d.Run(ctx, func(ashwood.ListForm, []ashwood.Server) {})
+			for n, most := range tt.most {
+				wait := <-c.waits
+				if n == 0 {
+					first = append(first, wait)
+				} else if wait < most/2 {
+					t.Errorf("%d gateways, wait %d: %.0f ms, of %.0f", tt.nodes, n, wait, most)
+				}
+				if wait > most {
+					t.Errorf("%d gateways, wait %d: %.0f ms, of %.0f", tt.nodes, n, wait, most)
+				}
+			}
+		}
+		if first[0] == first[1] {
+			t.Errorf("%d gateways: two seeds wait %v ms alike", tt.nodes, first)
+		}
+	}
+}
+
 // An attempt given up in the moment in which it fails must not take the process
 // down: what ends its connection then runs when the connection is cleared already.
 // On one processor it runs after, each time.
--- a/scheduler.go
+++ b/scheduler.go
@@ -9,6 +9,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"ashwood.example/ashwood/internal/trend"
 )
 
 // The design's values (docs/design.md).
@@ -59,7 +61,7 @@
 		s.topWorth, s.minAim = max(s.topWorth, c.Worth), min(s.minAim, c.Aim)
 	}
 	for _, t := range set.Tenants {
-		s.quota[t.Name], s.asked[t.Name] = t.QuotaPerSec/float64(set.Nodes), &rate{}
+		s.quota[t.Name], s.asked[t.Name] = t.QuotaPerSec/float64(set.Nodes), &trend.Rate{}
 	}
 	s.crowd = max(1-2/float64(set.Nodes), 0)
 	return s, nil
@@ -114,7 +116,7 @@
 			s.servers[entry.ID], s.order = v, append(s.order, v)
 		}
 		if entry.Started > v.Started {
-			v.health, v.ratio, v.shunUntil, v.report, v.done = health{}, 1, 0, nil, rate{}
+			v.health, v.ratio, v.shunUntil, v.report, v.done = health{}, 1, 0, nil, trend.Rate{}
 			v.sends, v.since, v.luck = nil, s.now, s.rng.Float64()
 			s.void(v, s.now+1)
 		}
@@ -141,7 +143,7 @@
 	}
 	c := s.classes[e.Class]
 	if c == nil {
-		s.act(Refuse{ID: e.ID, RetryAfter: s.pause()})
+		s.act(Refuse{ID: e.ID, RetryAfter: s.pause(), Why: WhyUnknown})
 		return
 	}
 	r := &request{
@@ -151,9 +153,9 @@
 	s.cost[c] = cmp.Or(s.cost[c], e.PromptTokens)
 	s.cost[c] += ewma * (e.PromptTokens - s.cost[c])
 	s.prompt += ewma * (e.PromptTokens - s.prompt)
-	s.coming.add(s.now, time.Second, e.PromptTokens)
+	s.coming.Add(s.now, time.Second, e.PromptTokens)
 	if q := s.asked[e.Tenant]; q != nil {
-		q.add(s.now, time.Second, 1)
+		q.Add(s.now, time.Second, 1)
 	}
 	s.after(e.TimeLeft, timer{e.ID, lookAgain})
 	s.advance(r)
@@ -164,7 +166,7 @@
 	switch {
 	case r.done || r.out > 0:
 	case s.now >= r.deadline || !s.maySend(r):
-		s.giveUp(r)
+		s.giveUp(r, WhySpent)
 	case r.state != nil:
 		s.toWriter(r)
 	default:
@@ -179,7 +181,7 @@
 	} else if s.now-r.idle < s.set.Rules.Release/2 {
 		s.after(min(retryPause, s.set.Rules.Release/8), timer{r.ID, lookAgain})
 	} else {
-		s.giveUp(r)
+		s.giveUp(r, WhyNoWriter)
 	}
 }
 
@@ -193,9 +195,15 @@
 		}
 	}
 	v, write := s.pickReader(r)
+	why := Why("")
+	if v != nil && len(r.attempts) == 0 {
+		why = s.hopeless(r, v)
+	}
 	switch {
-	case v == nil && s.now-r.arrived > r.class.Aim, v != nil && len(r.attempts) == 0 && s.hopeless(r, v):
-		s.giveUp(r)
+	case why != "":
+		s.giveUp(r, why)
+	case v == nil && s.now-r.arrived > r.class.Aim:
+		s.giveUp(r, WhyNoReader)
 	case v == nil:
 		if r.ahead != nil {
 			s.letGo(r)
@@ -214,7 +222,7 @@
 // chosen, or for which the writers' reported memory is spoken for (a full writer
 // reads answers anew). All classes answer to the shortest aim, or the patient would
 // keep queues too long. It may hurt after a slow spell, until the pace has aged.
-func (s *Scheduler) hopeless(r *request, v *server) bool {
+func (s *Scheduler) hopeless(r *request, v *server) Why {
 	least, room, queued, told := math.Inf(1), 0.0, 0.0, false
 	matched, _ := s.match(r, v)
 	wait := s.delay(v, reading, r.PromptTokens-matched)
@@ -229,17 +237,23 @@
 		}
 	}
 	// What is being read will want room too: here what waits, at the others what comes in while a read takes.
-	each := s.coming.add(s.now, time.Second, 0) * s.pace[reading].y / float64(time.Second)
+	each := s.coming.Add(s.now, time.Second, 0) * s.pace[reading].Y / float64(time.Second)
 	room -= s.fleet(queued, each, s.prompt)
 	limit := (float64(s.minAim) - s.haste[r.Tenant]) * (1 + r.class.Worth/s.topWorth) / 2
 	if q := s.quota[r.Tenant]; q > 0 { // the further over its share, the smaller its part of the aim
-		limit *= min(1, max(s.set.OverShareWorth, q/max(s.asked[r.Tenant].add(s.now, time.Second, 0), q/2)))
+		limit *= min(1, max(s.set.OverShareWorth, q/max(s.asked[r.Tenant].Add(s.now, time.Second, 0), q/2)))
 	}
 	full := told && room < r.PromptTokens
 	if full && s.set.Reports == ReportProbe { // or refusing would go on for want of news
 		s.poll(func(w *server) bool { return w.role != RoleRead })
 	}
-	return full || !math.IsInf(least, 1) && wait+least > limit
+	switch {
+	case full:
+		return WhyNoRoom
+	case !math.IsInf(least, 1) && wait+least > limit:
+		return WhyTooLate
+	}
+	return ""
 }
 
 // delay is the wait to expect behind what waits at a server. Where nothing of
@@ -247,9 +261,9 @@
 func (s *Scheduler) delay(v *server, at stage, tokens float64) float64 {
 	p := &s.pace[at]
 	if v.queue > 0 {
-		return p.expect(v.queue + tokens)
+		return p.Expect(v.queue + tokens)
 	}
-	return s.crowd * s.crowd * p.expect(tokens) * math.Exp(-float64(s.now-p.last)/float64(2*s.minAim))
+	return s.crowd * s.crowd * p.Expect(tokens) * math.Exp(-float64(s.now-p.Last)/float64(2*s.minAim))
 }
 
 func stageOf(write bool, from, to *server) stage {
@@ -286,12 +300,12 @@
 }
 
 // giveUp gives the final answer: a refusal where repeating is harmless.
-func (s *Scheduler) giveUp(r *request) {
+func (s *Scheduler) giveUp(r *request, why Why) {
 	c := r.class
 	if r.ran == nil || c.Effect == Pure || c.Effect == Token && c.Group == ScopeAll {
-		s.act(Refuse{ID: r.ID, RetryAfter: s.pause()})
+		s.act(Refuse{ID: r.ID, RetryAfter: s.pause(), Why: why})
 	} else {
-		s.act(Fail{r.ID})
+		s.act(Fail{ID: r.ID, Why: why})
 	}
 	s.end(r)
 }
@@ -356,8 +370,8 @@
 // limit is the time after which an attempt is overdue, as like work goes now.
 func (s *Scheduler) limit(r *request, a *attempt) time.Duration {
 	limit := r.class.Aim / 2
-	if p := &s.pace[a.stage]; p.n > 0 {
-		limit = time.Duration(p.expect(a.queue) + 4*p.dev)
+	if p := &s.pace[a.stage]; p.N > 0 {
+		limit = time.Duration(p.Expect(a.queue) + 4*p.Dev)
 	}
 	return max(limit, s.set.Limits.ConnectTimeout, retryPause)
 }
@@ -483,11 +497,11 @@
 	case ServerError, ConnectionLost:
 		s.judge(a.srv, r, false)
 	case NoAnswer:
-		s.pace[a.stage].observe(s.now, e.Latency, a.queue)
+		s.pace[a.stage].Observe(s.now, e.Latency, a.queue)
 		s.judge(a.srv, r, false)
 	case CalledOff:
 		if !a.begun && !a.lost { // a client that leaves a begun answer tells nothing of the wait before it
-			s.pace[a.stage].observe(s.now, e.Latency, a.queue)
+			s.pace[a.stage].Observe(s.now, e.Latency, a.queue)
 		}
 	}
 }
@@ -553,7 +567,7 @@
 		s.leave(r, n)
 	case a.srv.alive > a.sent || s.shared(a.srv):
 		if a.write { // it will have taken longer yet
-			s.pace[a.stage].observe(s.now, wait, a.queue)
+			s.pace[a.stage].Observe(s.now, wait, a.queue)
 		}
 	case float64(wait) < math.Pow(s.crowd, 4)*float64(r.class.Aim):
 	case wait < 2*limit:
@@ -597,12 +611,12 @@
 	v, p := a.srv, &s.pace[a.stage]
 	v.shun, v.alive, v.began[a.stage] = 0, s.now, max(v.began[a.stage], a.sent)
 	if !s.cold(v) { // taken, not sent: a storm of rejects must not swell the cold budget
-		v.done.add(s.now, s.set.Rules.FallWindow, s.cost[r.class])
+		v.done.Add(s.now, s.set.Rules.FallWindow, s.cost[r.class])
 	}
-	if want := p.expect(a.queue); want > 0 {
+	if want := p.Expect(a.queue); want > 0 {
 		v.ratio += ewma * (min(float64(latency)/want, 10) - v.ratio)
 	}
-	p.observe(s.now, latency, a.queue)
+	p.Observe(s.now, latency, a.queue)
 	s.judge(v, r, true)
 }
 
@@ -610,7 +624,7 @@
 // the reader's cell, less with the age of what is known of it.
 func (s *Scheduler) toll() float64 {
 	far := &s.pace[writingFar]
-	return max(far.y-s.pace[writing].y, 0) * math.Exp(-float64(s.now-far.last)/float64(4*s.minAim))
+	return max(far.Y-s.pace[writing].Y, 0) * math.Exp(-float64(s.now-far.Last)/float64(4*s.minAim))
 }
 
 // judge moves the health of a server and of the path to its zone: one where all
@@ -903,7 +917,7 @@
 	}
 	rules, cost := s.set.Rules, max(s.cost[r.class], 1)
 	each, _ := s.mean(v.role, func(o *server) (float64, bool) {
-		return o.done.add(s.now, rules.FallWindow, 0), !s.cold(o)
+		return o.done.Add(s.now, rules.FallWindow, 0), !s.cold(o)
 	})
 	budget, nodes := each*rules.FallWindow.Seconds()*rules.FallMultiple*rules.ColdFrom, float64(s.set.Nodes)
 	k := max(budget*nodes/cost, 1) // of all nodes; their draws may by chance fall together, by three deviations
@@ -919,32 +933,6 @@
 	return sent <= max(budget, cost) && s.now-v.since >= time.Duration(v.luck*float64(span-rules.FallWindow))
 }
 
-func (p *pace) expect(tokens float64) float64 {
-	slope := 0.0
-	if v := p.xx - p.x*p.x; v > 0 {
-		slope = max(0, (p.xy-p.x*p.y)/v)
-	}
-	return max(p.y+slope*(tokens-p.x), p.y/4)
-}
-
-func (p *pace) observe(now, latency time.Duration, tokens float64) {
-	p.n++
-	p.gap += time.Duration(max(1/p.n, ewma/4) * float64(min(now-p.last, backoffMax)-p.gap))
-	p.last = now
-	w, y := max(1/p.n, ewma/4), float64(latency)
-	p.dev += w * (math.Abs(y-p.expect(tokens)) - p.dev)
-	p.x += w * (tokens - p.x)
-	p.y += w * (y - p.y)
-	p.xx += w * (tokens*tokens - p.xx)
-	p.xy += w * (tokens*y - p.xy)
-}
-
-func (t *rate) add(now, window time.Duration, cost float64) float64 {
-	t.sum = t.sum*math.Exp(-float64(now-t.last)/float64(8*window)) + cost
-	t.last = now
-	return t.sum / (8 * window).Seconds()
-}
-
 // match counts the leading tokens of a prompt that a server holds, and those
 // that it surely holds.
 func (s *Scheduler) match(r *request, v *server) (tokens, sure float64) {
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -586,7 +586,7 @@
 		v, r := n.s.servers["r4"], &request{class: n.s.classes["chat"]}
 		n.s.now, n.s.cost[r.class] = n.now, 1
 		for _, o := range n.s.order {
-			o.done.add(n.now, time.Second, 200)
+			o.done.Add(n.now, time.Second, 200)
 		}
 		for ; sends < 1000 && n.s.coldRoom(v, r); sends++ {
 			v.sends = append(v.sends, stamp{n.now, 1})
@@ -831,7 +831,7 @@
 func TestSharedSlownessIsNoFaultOfOne(t *testing.T) {
 	for _, shared := range []bool{true, false} {
 		n := newNode(t, settings(), reader("r1"), writer("w1", 0), writer("w2", 0), writer("w3", 0))
-		n.s.pace[writing].observe(n.now, 50*ms, 320)
+		n.s.pace[writing].Observe(n.now, 50*ms, 320)
 		for i, id := range []string{"a", "b", "c"} {
 			n.ask(id, uint64(i), 0)
 			n.end(id, 0, "r1", Parsed)
@@ -858,7 +858,7 @@
 	n := newNode(t, settings(), reader("r1"), reader("r2"), writer("w1", 0))
 	n.ask("a", 1, 0)
 	for range 30 {
-		n.s.pace[reading].observe(n.now, 2*time.Second, 320)
+		n.s.pace[reading].Observe(n.now, 2*time.Second, 320)
 	}
 	n.now += 1500 * ms
 	n.s.now, n.s.out = n.now, nil
@@ -892,8 +892,8 @@
 		}
 		n := newNode(t, settings(), list...)
 		known := &request{Request: Request{Session: 1, Prefix: 7, PrefixTokens: 160, PromptTokens: 320}}
-		n.s.pace[writing].observe(n.now, 50*ms, 320)
-		n.s.pace[writingFar].observe(n.now, tt.far, 320)
+		n.s.pace[writing].Observe(n.now, 50*ms, 320)
+		n.s.pace[writingFar].Observe(n.now, tt.far, 320)
 		n.now += tt.age
 		if tt.used == nil {
 			tt.used = map[ServerID]float64{"w2": 0.1, "w3": 0.9}
@@ -929,7 +929,7 @@
 		n := newNode(t, set, reader("r1"), writer("w1", 0))
 		n.s.servers["r1"].queue = 1000
 		for i := 0; i < 10; i++ {
-			n.s.pace[reading].observe(0, tt.wait, 1000)
+			n.s.pace[reading].Observe(0, tt.wait, 1000)
 		}
 		n.do(Request{ID: "a", Class: tt.class, Session: 1, PromptTokens: 16, TimeLeft: 5 * time.Second})
 		if _, got := pick[Refuse](n); got != tt.refused {
@@ -972,7 +972,7 @@
 	}
 	n.s.servers["r1"].queue = 1000
 	for i := 0; i < 10; i++ {
-		n.s.pace[reading].observe(n.now, 500*ms, 1000)
+		n.s.pace[reading].Observe(n.now, 500*ms, 1000)
 	}
 	for tenant, want := range map[string]bool{"hasty": true, "calm": false} {
 		n.do(Request{ID: RequestID(tenant), Class: "chat", Tenant: tenant, Session: 1, PromptTokens: 16,
@@ -989,8 +989,8 @@
 	n := newNode(t, set, reader("r1"), writer("w1", 0))
 	n.s.servers["r1"].queue = 1000
 	for i := 0; i < 10; i++ {
-		n.s.pace[reading].observe(0, 800*ms, 1000)
-		n.s.asked["big"].add(n.now, time.Second, 5)
+		n.s.pace[reading].Observe(0, 800*ms, 1000)
+		n.s.asked["big"].Add(n.now, time.Second, 5)
 	}
 	for tenant, want := range map[string]bool{"big": true, "small": false} {
 		n.do(Request{ID: RequestID(tenant), Class: "chat", Tenant: tenant, Session: 1, PromptTokens: 16,
--- a/size_test.go
+++ b/size_test.go
@@ -65,7 +65,7 @@
 		n := newNode(t, manyNodes(nodes), fleetOf(20, 20)...)
 		for i := 0; i < 30; i++ {
 			n.now += time.Second
-			n.s.pace[reading].observe(n.now, 50*ms, 320)
+			n.s.pace[reading].Observe(n.now, 50*ms, 320)
 		}
 		n.ask("a", 1, 0)
 		a, _ := pick[Attempt](n)
@@ -102,7 +102,7 @@
 	} {
 		n := newNode(t, manyNodes(tt.nodes), fleetOf(20, 20)...)
 		for i := 0; i < 30; i++ {
-			n.s.pace[reading].observe(n.now, tt.latency, 320)
+			n.s.pace[reading].Observe(n.now, tt.latency, 320)
 		}
 		n.now += tt.age
 		n.ask("a", 1, 0)
--- a/state.go
+++ b/state.go
@@ -5,6 +5,8 @@
 	"hash/fnv"
 	"math/rand"
 	"time"
+
+	"ashwood.example/ashwood/internal/trend"
 )
 
 // This file declares what a scheduler remembers. It decides nothing.
@@ -43,7 +45,7 @@
 	sends     []stamp                     // sends while cold
 	since     time.Duration               // known to have started anew
 	luck      float64                     // drawn then, for this node's turn while it is cold
-	done      rate                        // work finished while warm
+	done      trend.Rate                  // work finished while warm
 }
 
 type stamp struct {
@@ -126,7 +128,7 @@
 	rng      *rand.Rand
 	classes  map[string]*Class
 	quota    map[string]float64 // this node's part of a tenant's share
-	asked    map[string]*rate
+	asked    map[string]*trend.Rate
 	topWorth float64
 	minAim   time.Duration
 	crowd    float64            // of nodes: 0 where own counts tell of the fleet (up to two), near 1 where they are chance
@@ -139,11 +141,11 @@
 	next     uint64
 	table    list.List // of *prefixRun, latest used first
 	blocks   int       // in the table
-	pace     [stages]pace
+	pace     [stages]trend.Line
 	cost     map[*Class]float64
-	prompt   float64 // tokens of a prompt
-	coming   rate    // tokens of the prompts that come in
-	uses     float64 // of shared prefixes in the table
+	prompt   float64    // tokens of a prompt
+	coming   trend.Rate // tokens of the prompts that come in
+	uses     float64    // of shared prefixes in the table
 	now      time.Duration
 	out      []Action
 }
@@ -184,20 +186,6 @@
 	return h.Sum64()
 }
 
-// pace is what a stage takes for like work: a decaying straight line of
-// latency over the tokens that waited at the server when a request joined
-// them, and the mean error around it, as transports learn their time-outs.
-type pace struct {
-	n, x, y, xx, xy, dev float64
-	gap, last            time.Duration // between observations
-}
-
-// rate is a decaying count of work, per second over some eight windows.
-type rate struct {
-	sum  float64
-	last time.Duration
-}
-
 func newServer(id ServerID) *server {
 	return &server{ratio: 1, runs: map[runKey]*list.Element{}, refuses: map[[2]string]time.Duration{}, hash: hashOf(id)}
 }
@@ -236,6 +224,6 @@
 		set: set, rng: rand.New(rand.NewSource(seed)), classes: map[string]*Class{}, quota: map[string]float64{},
 		servers: map[ServerID]*server{}, zones: map[string]*health{}, reqs: map[RequestID]*request{},
 		timers: map[uint64]timer{}, cost: map[*Class]float64{},
-		asked: map[string]*rate{}, haste: map[string]float64{},
+		asked: map[string]*trend.Rate{}, haste: map[string]float64{},
 	}
 }
--- a/types.go
+++ b/types.go
@@ -282,14 +282,31 @@
 	Attempt int
 }
 
+// Why tells for what reason a request was given up, for logs and counts.
+type Why string
+
+// The reasons to give a request up.
+const (
+	WhyUnknown  Why = "unknown-class"
+	WhySpent    Why = "spent" // no time or no further attempt left
+	WhyNoReader Why = "no-reader"
+	WhyNoWriter Why = "no-writer"
+	WhyNoRoom   Why = "no-room"  // the writers' memory is spoken for
+	WhyTooLate  Why = "too-late" // a first token would be
+)
+
 // Refuse is a final answer: trying again does no harm.
 type Refuse struct {
 	ID         RequestID
 	RetryAfter time.Duration
+	Why        Why
 }
 
 // Fail is a final answer that promises nothing.
-type Fail struct{ ID RequestID }
+type Fail struct {
+	ID  RequestID
+	Why Why
+}
 
 // SetTimer asks for a Timer event.
 type SetTimer struct {
