Let cold servers' turns gather with a gateway's own requests where many share them

Checked: sends counted per cold engine and second.

Change: above eight gateways a turn at a cold server gathers with each request of the gateway's own, so that the fleet sends it no more than its equal share by what it can do while cold, and turns not used wait for the next request. It is cold writers' turn before others'; readers stay chosen by what they keep. Fewer gateways count their sends as before. The prefix table moved to internal/prefix as it was.

The tests fail without the turns (new servers get nothing) and without the budget (18 sends in a window that bears 12).

--- a/scheduler.go
+++ b/scheduler.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"ashwood.example/ashwood/internal/prefix"
 	"ashwood.example/ashwood/internal/trend"
 )
 
@@ -32,6 +33,9 @@
 	backoffMax   = 8 * time.Second       //
 	retryPause   = 40 * time.Millisecond // between looks for a server while a request waits
 	coldMargin   = 0.6                   // of the cold budget that is used
+	manyNodes    = 8                     // of which each sends a server too little to count
+	usualLoad    = 0.6                   // of what servers can do
+	readSpare    = 1.5                   // times what writers can do, that readers can
 	nearRoom     = 0.5                   // of the best room anywhere that a nearer writer needs
 	slowRefusal  = 20                    // of the aim, from which a refusal is of this kind alone
 	tollLimit    = 0.5
@@ -118,7 +122,8 @@
 		if entry.Started > v.Started {
 			v.health, v.ratio, v.shunUntil, v.report, v.done = health{}, 1, 0, nil, trend.Rate{}
 			v.sends, v.since, v.luck = nil, s.now, s.rng.Float64()
-			s.void(v, s.now+1)
+			v.turns = v.luck
+			s.table.Void(v.runs, s.now+1)
 		}
 		if s.zones[entry.Zone] == nil {
 			s.zones[entry.Zone] = &health{}
@@ -158,9 +163,26 @@
 		q.Add(s.now, time.Second, 1)
 	}
 	s.after(e.TimeLeft, timer{e.ID, lookAgain})
+	s.takeTurns()
 	s.advance(r)
 }
 
+// takeTurns brings the turns at cold servers nearer with each request, where many
+// nodes share them: a turn is one send. Over the fleet a server gets so no more than
+// its equal share of the requests by what it can do while cold, whoever prefers it.
+func (s *Scheduler) takeTurns() {
+	share := s.set.Rules.FallMultiple * s.set.Rules.ColdFrom / usualLoad
+	_, readers := s.mean(RoleRead, func(*server) (float64, bool) { return 0, true })
+	for _, v := range s.order {
+		if n := float64(len(s.order)) - readers; v.listed && s.cold(v) {
+			if v.role == RoleRead {
+				n = readers / readSpare
+			}
+			v.turns = min(v.turns+share/n, 2)
+		}
+	}
+}
+
 // advance takes a request with no attempt out a step further, or ends it.
 func (s *Scheduler) advance(r *request) {
 	switch {
@@ -340,7 +362,7 @@
 		var matched float64
 		matched, a.kept = s.match(r, v)
 		a.tokens = max(r.PromptTokens-matched, 0)
-		s.record(r, v, false)
+		s.table.Record(s.now, v.runs, r.parts(), false)
 	}
 	v.queue += a.tokens
 	a.queue = v.queue
@@ -361,6 +383,7 @@
 	}
 	if s.cold(v) {
 		v.sends = append(v.sends, stamp{s.now, s.cost[r.class]})
+		v.turns--
 	}
 	r.attempts, r.out, r.tried[v] = append(r.attempts, a), r.out+1, true
 	s.act(Attempt{ID: r.ID, Server: v.ID, Timeout: r.deadline - s.now})
@@ -510,9 +533,9 @@
 // it surely held has forgotten what it held before (a flush, an untold restart).
 func (s *Scheduler) parsed(r *request, a *attempt, kept float64) {
 	if kept < a.kept/2 {
-		s.void(a.srv, a.sent)
+		s.table.Void(a.srv.runs, a.sent)
 	}
-	s.record(r, a.srv, true)
+	s.table.Record(s.now, a.srv.runs, r.parts(), true)
 	r.state = a.srv
 	clear(r.tried)
 	if !r.held && s.now-a.sent > s.set.Limits.ConnectTimeout {
@@ -695,13 +718,16 @@
 
 func (s *Scheduler) trusted(v *server) bool { return !v.ejected && !v.path.ejected }
 
-// pool lists the servers of a stage that a request may use: the one whose
-// single trial is due, else the trusted, else, when none is left, all.
+// pool lists the servers of a stage that a request may use: the one whose single
+// trial is due, cold writers whose turn it is (readers are chosen by what they have
+// kept), else the trusted, else, when none is left, all.
 func (s *Scheduler) pool(r *request, match func(Role) bool) (good []*server) {
-	var rest []*server
+	var rest, turn []*server
 	for _, v := range s.order {
 		switch z := v.path; {
 		case !match(v.role) || !s.usable(r, v):
+		case s.trusted(v) && s.set.Nodes > manyNodes && s.cold(v) && v.role != RoleRead:
+			turn = append(turn, v)
 		case s.trusted(v) && s.now >= v.refuses[r.kind()]:
 			good = append(good, v)
 		case !s.trusted(v) && (v.due(s.now) || !v.ejected) && (z.due(s.now) || !z.ejected) && len(r.attempts) <= 1:
@@ -710,8 +736,10 @@
 			rest = append(rest, v)
 		}
 	}
-	if len(good) > 0 {
-		return good
+	for _, some := range [][]*server{turn, good} {
+		if len(some) > 0 {
+			return some
+		}
 	}
 	return rest
 }
@@ -818,11 +846,9 @@
 func (s *Scheduler) homes(r *request, pool []*server) []*server {
 	uses, n := 0.0, float64(len(pool))
 	for _, v := range pool {
-		if e := v.runs[runKey{r.Prefix, false}]; e != nil {
-			uses += e.Value.(*prefixRun).uses
-		}
+		uses += s.table.Used(v.runs, prefix.Key{Hash: r.Prefix})
 	}
-	want, need := 2, spread*n*max(uses-1, 0)/(s.uses+n) // what was seen once may be chance
+	want, need := 2, spread*n*max(uses-1, 0)/(s.table.Uses()+n) // what was seen once may be chance
 	for float64(want) < need {
 		want *= 2 // so that nodes mostly agree and a session finds its earlier turns
 	}
@@ -915,6 +941,9 @@
 	if !s.cold(v) || s.set.Rules.FallMultiple == 0 {
 		return true
 	}
+	if s.set.Nodes > manyNodes {
+		return v.turns >= 1
+	}
 	rules, cost := s.set.Rules, max(s.cost[r.class], 1)
 	each, _ := s.mean(v.role, func(o *server) (float64, bool) {
 		return o.done.Add(s.now, rules.FallWindow, 0), !s.cold(o)
@@ -932,59 +961,3 @@
 	}
 	return sent <= max(budget, cost) && s.now-v.since >= time.Duration(v.luck*float64(span-rules.FallWindow))
 }
-
-// match counts the leading tokens of a prompt that a server holds, and those
-// that it surely holds.
-func (s *Scheduler) match(r *request, v *server) (tokens, sure float64) {
-	held, known := 0, 0
-	for _, part := range r.runs() {
-		has := prefixRun{}
-		if e := v.runs[part.key]; e != nil && s.now-e.Value.(*prefixRun).at < blockExpiry {
-			has = *e.Value.(*prefixRun)
-		}
-		if known == held {
-			known += min(has.sure, part.blocks)
-		}
-		if held += min(has.blocks, part.blocks); has.blocks < part.blocks {
-			break
-		}
-	}
-	return float64(held * blockTokens), float64(known * blockTokens)
-}
-
-// record notes that a server reads a prompt, or, for sure, that it has. What
-// has expired is dropped, so that the table does not grow with time.
-func (s *Scheduler) record(r *request, v *server, sure bool) {
-	for _, part := range r.runs() {
-		if part.blocks == 0 {
-			continue
-		}
-		if v.runs[part.key] == nil {
-			v.runs[part.key] = s.table.PushFront(&prefixRun{srv: v, key: part.key})
-		}
-		s.table.MoveToFront(v.runs[part.key])
-		e := v.runs[part.key].Value.(*prefixRun)
-		s.blocks += max(part.blocks-e.blocks, 0)
-		if e.blocks, e.at = max(e.blocks, part.blocks), s.now; sure {
-			e.sure = max(e.sure, part.blocks)
-		} else if !part.key.own {
-			e.uses++
-			s.uses++
-		}
-	}
-	for e := s.table.Back(); e != nil; e = s.table.Back() {
-		if s.blocks <= maxBlocks && s.now-e.Value.(*prefixRun).at < blockExpiry {
-			break
-		}
-		s.forget(e)
-	}
-}
-
-// void empties a server's blocks that were last used before a time.
-func (s *Scheduler) void(v *server, before time.Duration) {
-	for _, e := range v.runs {
-		if e.Value.(*prefixRun).at < before {
-			s.forget(e)
-		}
-	}
-}
--- a/state.go
+++ b/state.go
@@ -1,11 +1,11 @@
 package ashwood
 
 import (
-	"container/list"
 	"hash/fnv"
 	"math/rand"
 	"time"
 
+	"ashwood.example/ashwood/internal/prefix"
 	"ashwood.example/ashwood/internal/trend"
 )
 
@@ -34,7 +34,7 @@
 	report    Report
 	reportAt  time.Duration
 	polled    time.Duration // last asked for it
-	runs      map[runKey]*list.Element
+	runs      prefix.Held
 	hash      uint64                // of its id
 	ratio     float64               // latency against what its role takes for like work
 	alive     time.Duration         // it last finished or began something
@@ -44,6 +44,7 @@
 	shun      time.Duration               // the last pause after it would not take a request
 	sends     []stamp                     // sends while cold
 	since     time.Duration               // known to have started anew
+	turns     float64                     // sends that this node may make while it is cold, where many nodes share it
 	luck      float64                     // drawn then, for this node's turn while it is cold
 	done      trend.Rate                  // work finished while warm
 }
@@ -106,22 +107,6 @@
 	watchAgain
 )
 
-type runKey struct {
-	key uint64
-	own bool // of a session, not of a shared prefix
-}
-
-// prefixRun is an entry of the LRU table: so many leading blocks of a shared prefix,
-// or of what follows it in a session, that a server holds.
-type prefixRun struct {
-	srv    *server
-	key    runKey
-	blocks int
-	sure   int           // of those, blocks of reads that have finished
-	uses   float64       // prompts sent there that begin with it
-	at     time.Duration // last used
-}
-
 // Scheduler makes the decisions of one node.
 type Scheduler struct {
 	set      Settings
@@ -139,13 +124,11 @@
 	reqs     map[RequestID]*request
 	timers   map[uint64]timer
 	next     uint64
-	table    list.List // of *prefixRun, latest used first
-	blocks   int       // in the table
+	table    prefix.Table
 	pace     [stages]trend.Line
 	cost     map[*Class]float64
 	prompt   float64    // tokens of a prompt
 	coming   trend.Rate // tokens of the prompts that come in
-	uses     float64    // of shared prefixes in the table
 	now      time.Duration
 	out      []Action
 }
@@ -173,12 +156,6 @@
 	}
 }
 
-func (s *Scheduler) forget(e *list.Element) {
-	b := s.table.Remove(e).(*prefixRun)
-	s.blocks, s.uses = s.blocks-b.blocks, s.uses-b.uses
-	delete(b.srv.runs, b.key)
-}
-
 // hashOf spreads an id over 64 bits.
 func hashOf(id ServerID) uint64 {
 	h := fnv.New64a()
@@ -187,7 +164,7 @@
 }
 
 func newServer(id ServerID) *server {
-	return &server{ratio: 1, runs: map[runKey]*list.Element{}, refuses: map[[2]string]time.Duration{}, hash: hashOf(id)}
+	return &server{ratio: 1, runs: prefix.Held{}, refuses: map[[2]string]time.Duration{}, hash: hashOf(id)}
 }
 
 // score is the rank of a server for a key, alike at all nodes (rendezvous hashing).
@@ -208,14 +185,21 @@
 	return mean, n
 }
 
-// runs gives the two runs of a prompt's leading blocks: what it shares with
+// parts gives the two runs of a prompt's leading blocks: what it shares with
 // other sessions, then its session's own.
-func (r *request) runs() [2]prefixRun {
+func (r *request) parts() []prefix.Part {
 	all, shared := int(r.PromptTokens)/blockTokens, 0
 	if r.Prefix != 0 {
 		shared = min(int(r.PrefixTokens)/blockTokens, all)
 	}
-	return [2]prefixRun{{key: runKey{r.Prefix, false}, blocks: shared}, {key: runKey{r.Session, true}, blocks: all - shared}}
+	return []prefix.Part{{Key: prefix.Key{Hash: r.Prefix}, Blocks: shared}, {Key: prefix.Key{Hash: r.Session, Own: true}, Blocks: all - shared}}
+}
+
+// match counts the leading tokens of a prompt that a server holds, and those
+// that it surely holds.
+func (s *Scheduler) match(r *request, v *server) (tokens, sure float64) {
+	held, known := s.table.Match(s.now, v.runs, r.parts())
+	return float64(held * blockTokens), float64(known * blockTokens)
 }
 
 // empty is a scheduler that knows nothing yet.
@@ -225,5 +209,6 @@
 		servers: map[ServerID]*server{}, zones: map[string]*health{}, reqs: map[RequestID]*request{},
 		timers: map[uint64]timer{}, cost: map[*Class]float64{},
 		asked: map[string]*trend.Rate{}, haste: map[string]float64{},
+		table: prefix.Table{MaxBlocks: maxBlocks, Expiry: blockExpiry},
 	}
 }
