Ask for the list at once at a start: putting it off broke the drain rule

A gateway counts as told of what it would have heard had it asked.

Change: the first call is made at once; only those after a failure are spread out.

--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -26,8 +26,9 @@
 	maxList    = 4 << 20 // bytes of a list
 
 	// One discovery serves all gateways. What eighty ask again every 100 ms keeps it
-	// busy with calls that it fails, so that none is answered any more: calls that
-	// are not part of a watch, first ones and those after a failure, are spread out.
+	// busy with calls that it fails, so that none is answered any more: calls after a
+	// failure are spread out. The first one is not put off: a gateway that has just
+	// started counts as told of what it would hear if it asked.
 	callEvery = 40.0    // ms between such calls of all gateways
 	pauseMost = 10000.0 // ms between those of one
 )
@@ -109,9 +110,6 @@
 			return legConn{c, context.AfterFunc(ctx, func() { c.Close() })}, nil
 		},
 	}
-	if inHand { // gateways that start together with lists in hand need not ask together
-		d.wait(ctx, d.pace.Rand.Float64()*d.pace.First)
-	}
 	failed := 0 // calls in a row; an outage is logged when it begins and ends
 	for ctx.Err() == nil {
 		begun := d.clock.Now()
