Have many gateways draw writers by their room instead of all taking the largest

A gateway hears of a writer every 20 s or so; with no news of its own each reckons all equally full (rooms, scheduler.go), so the largest memory won each time, at every gateway.

Fewer take the roomiest as before.

With the draw taken out its test sees no answer at the smaller writer.

--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -354,9 +354,11 @@
 	"busy_reqs": ashwood.ReportInFlight, "pending": ashwood.ReportQueue, "x0": ashwood.ReportMemory,
 }
 
-// textNames are the names of the same values on sockets.
+// textNames are the names of the same values on sockets, where reports hold "the
+// fields that the settings name": those of the simulator, or the page's example's.
 var textNames = map[string]string{
 	"inflight": ashwood.ReportInFlight, "queue": ashwood.ReportQueue, "x0": ashwood.ReportMemory,
+	"busy_reqs": ashwood.ReportInFlight, "pending": ashwood.ReportQueue,
 }
 
 // ParseReport reads a load report in the form name=value,name=value. What it
--- a/scheduler.go
+++ b/scheduler.go
@@ -871,21 +871,29 @@
 
 // roomiest prefers the reader's cell, then its zone, while room there is not
 // far below the best anywhere. Equals are drawn for, or all nodes would follow
-// one old report to the same writer.
+// one old report to the same writer. Many nodes know so little of a writer that
+// each would take those with the largest memory: they draw for all, by their room.
 func (s *Scheduler) roomiest(pool []*server, reader *server) *server {
 	if len(pool) == 0 {
 		return nil
 	}
 	room := s.rooms(pool[0].role)
 	var best [3]*server // anywhere, in the zone, in the cell
-	var most [3]float64
+	var most, sum [3]float64
 	first := s.rng.Intn(len(pool))
 	for i := range pool {
 		v := pool[(first+i)%len(pool)]
 		n := room(v)
 		for near := range best {
-			if best[near] == nil || n > most[near] {
-				best[near], most[near] = v, n
+			more := best[near] == nil || n > most[near]
+			if more {
+				most[near] = n
+			}
+			if sum[near] += max(n, 1); s.set.Nodes > manyNodes {
+				more = s.rng.Float64()*sum[near] < max(n, 1)
+			}
+			if more {
+				best[near] = v
 			}
 			if reader == nil || near == 0 && v.Zone != reader.Zone || near == 1 && v.Cell != reader.Cell {
 				break
