Count over a fleet what its gateways' debug logs tell: ashlab fleet

Need: at size the cause of a loss is in the sum over 80 gateways, which no log shows. Change: ashlab fleet DIR prints by second and by engine attempts by outcome, new connections, probes, list calls, places, answers and refusals by reason, sends while cold and the most within a second, and the time from the news of a drain to the last send. Torn and foreign lines are told and left out, an empty folder is an error. New connections are logged at level debug. Left open: who is left out and why is not logged yet; the cost of the debug lines when off was not measured.

--- a/cmd/ashlab/main.go
+++ b/cmd/ashlab/main.go
@@ -50,6 +50,7 @@
 		}
 		return slog.New(slog.NewTextHandler(os.Stderr, nil))
 	}
-	cmd.AddCommand(rehearseCommand(logger), scenariosCommand(), emulateCommand(logger), loadCommand(), recordCommand(), compareCommand())
+	cmd.AddCommand(rehearseCommand(logger), scenariosCommand(), emulateCommand(logger), loadCommand(), recordCommand(), compareCommand(),
+		fleetCommand())
 	return cmd
 }
--- a/cmd/ashlab/main_test.go
+++ b/cmd/ashlab/main_test.go
@@ -79,3 +79,18 @@
 		t.Errorf("%+v, %v", rec, err)
 	}
 }
+
+// A fleet's logs are counted by second and by engine; a folder without any is said to be.
+func TestFleetCountsLogs(t *testing.T) {
+	dir := t.TempDir()
+	if _, err := run("fleet", dir); err == nil || exitCode(err) != 2 || !strings.Contains(err.Error(), "*.log") {
+		t.Errorf("an empty folder: %v", err)
+	}
+	line := "time=2026-01-01T00:00:00Z level=DEBUG msg=probe engine=r1 kind=prefill status=1 ms=2\n"
+	if err := os.WriteFile(filepath.Join(dir, "n0.log"), []byte(line), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := run("fleet", dir); err != nil || !strings.Contains(out, "probe served") || !strings.Contains(out, "r1") {
+		t.Errorf("%v:\n%s", err, out)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -214,7 +214,7 @@
 	g.router.Update(form, list)
 	if g.log.Enabled(context.Background(), slog.LevelDebug) {
 		for _, v := range list {
-			g.log.Debug("news", "engine", v.ID, "kind", v.Kind, "zone", v.Zone, "cell", v.Cell, "state", int(v.State), "started", clock.Millis(v.Started))
+			g.log.Debug("news", "engine", v.ID, "address", v.Address, "kind", v.Kind, "zone", v.Zone, "cell", v.Cell, "state", int(v.State), "started", clock.Millis(v.Started))
 		}
 	}
 }
--- a/internal/platform/engines.go
+++ b/internal/platform/engines.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"strconv"
 	"strings"
@@ -68,6 +69,9 @@
 	return e
 }
 
+// Log has new connections logged, at level debug. It is to be called before the first request.
+func (e *Engines) Log(log *slog.Logger) { e.pool.log = log }
+
 // sweep closes what has been idle too long, now and every so often.
 func (e *Engines) sweep() {
 	e.pool.sweep()
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"sync"
 	"syscall"
@@ -31,6 +32,7 @@
 	connect float64 // ms to wait for a connection
 	maxIdle float64 // ms after which an idle connection is closed, well before the engine does
 	max     int     // connections open at once
+	log     *slog.Logger
 
 	mu    sync.Mutex
 	idle  map[string][]*conn // by address, the latest used last
@@ -44,7 +46,7 @@
 const doubtTime = 2000.0
 
 func newPool(c clock.Clock, connect, maxIdle float64, limit int) *pool {
-	return &pool{clock: c, connect: connect, maxIdle: maxIdle, max: limit, idle: map[string][]*conn{}}
+	return &pool{clock: c, connect: connect, maxIdle: maxIdle, max: limit, idle: map[string][]*conn{}, log: slog.New(slog.DiscardHandler)}
 }
 
 // get gives an idle connection that the engine has not closed, or a new one.
@@ -82,7 +84,9 @@
 
 func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
 	d := net.Dialer{Timeout: clock.Duration(p.connect), KeepAlive: -1}
+	begun := p.clock.Now()
 	nc, err := d.DialContext(ctx, "tcp", addr)
+	p.log.Debug("connect", "address", addr, "ms", p.clock.Now()-begun, "err", err)
 	if err != nil {
 		p.mu.Lock()
 		defer p.mu.Unlock()
--- a/router/router.go
+++ b/router/router.go
@@ -131,6 +131,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("router: %w", err)
 	}
+	if l, ok := t.(interface{ Log(*slog.Logger) }); ok {
+		l.Log(o.log)
+	}
 	gw, err := gateway.New(cfg.Settings, cfg.Seed, t, o.clock, o.log)
 	if err != nil {
 		t.Close()
