--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -355,7 +355,7 @@
 }
 
 // textNames are the names of the same values on sockets, where reports hold "the
-// fields that the settings name": those of the simulator, or the page's example's.
+// fields that the settings name": those of the simulator, or of the page's example.
 var textNames = map[string]string{
 	"inflight": ashwood.ReportInFlight, "queue": ashwood.ReportQueue, "x0": ashwood.ReportMemory,
 	"busy_reqs": ashwood.ReportInFlight, "pending": ashwood.ReportQueue,
--- a/scheduler.go
+++ b/scheduler.go
@@ -95,7 +95,9 @@
 		s.timer(e)
 	case Probed:
 		if v := s.servers[e.Server]; v != nil && e.Status == Served {
-			s.heard(v, e.Report) // but it proves nothing about a hang
+			if s.heard(v, e.Report); s.swamped(v) { // but else it proves nothing about a hang
+				s.shun(v)
+			}
 		}
 	}
 	out, s.out = s.out, nil
@@ -711,6 +713,15 @@
 
 func (h *health) due(now time.Duration) bool { return h.ejected && now >= h.until && h.trial == "" }
 
+// swamped tells of a reader that by its own word holds far more than its peers: it
+// hangs, or has been found by too many at once.
+func (s *Scheduler) swamped(v *server) bool {
+	told, n := s.mean(v.role, func(o *server) (float64, bool) {
+		return o.report[ReportInFlight], o != v && len(o.report) > 0
+	})
+	return s.set.Nodes > manyNodes && v.role == RoleRead && n > 0 && v.report[ReportInFlight]-told > countGap
+}
+
 // usable tells whether a request may go to a server at this moment.
 func (s *Scheduler) usable(r *request, v *server) bool {
 	return v.listed && !r.tried[v] && r.mayRunOn(v, s.now) && s.now >= v.shunUntil && s.coldRoom(v, r)
--- a/size_test.go
+++ b/size_test.go
@@ -321,6 +321,29 @@
 	}
 }
 
+// A reader that hangs answers probes and says that it holds ever more. Many nodes
+// leave it alone at the first word, or its count would trip the gap test for every
+// request, or each of them would lose a request to it.
+func TestReaderThatIsSwampedIsLeftAloneByManyNodes(t *testing.T) {
+	for _, tt := range []struct {
+		nodes    int
+		inflight float64
+		left     bool
+	}{{80, 60, true}, {80, 10, false}, {4, 60, false}} {
+		set := nodesOf(tt.nodes)
+		set.Reports, set.Limits.Probes = ReportInline, true
+		n := newNode(t, set, fleetOf(6, 6)...)
+		for i := range 6 {
+			n.do(Probed{Server: ServerID(fmt.Sprint("r", i)), Status: Served, Report: Report{ReportInFlight: 2}})
+		}
+		n.do(Probed{Server: "r3", Status: Served, Report: Report{ReportInFlight: tt.inflight}})
+		pool := n.s.pool(&request{class: n.s.classes["chat"]}, reads)
+		if left := len(pool) == 5; left != tt.left {
+			t.Errorf("%+v: %d readers to choose from", tt, len(pool))
+		}
+	}
+}
+
 func TestMemoryDoesNotGrowWithTheDay(t *testing.T) {
 	n := newNode(t, nodesOf(2), fleetOf(4, 4)...)
 	for i := 0; i < 3000; i++ {
