Wait on the clock in one place: clock.Wait in place of three copies

Need: discovery, releases and xDS each waited on the clock with the same lines. Change: clock.Wait does; the three call it. Behaviour is as it was.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -550,12 +550,7 @@
 			return
 		}
 		g.log.Debug("release", "id", id, "engine", v.ID, "err", err)
-		again := make(chan struct{})
-		stop := g.clock.AfterFunc(releaseRetry, func() { close(again) })
-		select {
-		case <-again:
-		case <-ctx.Done():
-			stop()
+		if clock.Wait(ctx, g.clock, releaseRetry) != nil {
 			return
 		}
 	}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"context"
 	"math"
 	"sync"
 	"time"
@@ -29,6 +30,19 @@
 // Millis converts a duration of the standard library.
 func Millis(d time.Duration) float64 { return float64(d) / 1e6 }
 
+// Wait lets ms milliseconds go by, or less if ctx ends: then it gives its error.
+func Wait(ctx context.Context, c Clock, ms float64) error {
+	over := make(chan struct{})
+	stop := c.AfterFunc(ms, func() { close(over) })
+	select {
+	case <-over:
+		return nil
+	case <-ctx.Done():
+		stop()
+		return ctx.Err()
+	}
+}
+
 type system struct {
 	origin time.Time
 	unix   float64
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -123,7 +123,7 @@
 			if failed++; failed == 1 {
 				d.log.Warn("discovery: no answer, the list in hand stays", "err", err)
 			}
-			d.wait(ctx, d.pace.Next())
+			clock.Wait(ctx, d.clock, d.pace.Next())
 			continue
 		}
 		if failed > 0 {
@@ -141,17 +141,6 @@
 	}
 }
 
-// wait lets some ms go by, or less if ctx ends.
-func (d *Discovery) wait(ctx context.Context, ms float64) {
-	over := make(chan struct{})
-	stop := d.clock.AfterFunc(ms, func() { close(over) })
-	select {
-	case <-over:
-	case <-ctx.Done():
-		stop()
-	}
-}
-
 // legConn is closed with its leg: a watch waits long, and fasthttp has no way
 // to call one off.
 type legConn struct {
--- a/internal/xds/xds.go
+++ b/internal/xds/xds.go
@@ -102,13 +102,7 @@
 			pause = pauseFirst
 		}
 		c.log.Warn("xds: the stream has ended", "err", err)
-		again := make(chan struct{})
-		stop := c.clock.AfterFunc(pause, func() { close(again) })
-		select {
-		case <-again:
-		case <-ctx.Done():
-			stop()
-		}
+		clock.Wait(ctx, c.clock, pause)
 		pause = min(2*pause, pauseMost)
 	}
 	return ctx.Err()
