--- a/scheduler.go
+++ b/scheduler.go
@@ -174,6 +174,7 @@
 // its equal share of the requests by what it can do while cold, whoever prefers it.
 func (s *Scheduler) takeTurns() {
 	share := s.set.Rules.FallMultiple * s.set.Rules.ColdFrom / usualLoad
+	// For writers, engines that are gone count too: of the listed alone was too much.
 	_, readers := s.mean(RoleRead, func(*server) (float64, bool) { return 0, true })
 	for _, v := range s.order {
 		if n := float64(len(s.order)) - readers; v.listed && s.cold(v) {
