--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -151,10 +151,12 @@
 
 // Times of the calls around an attempt, in milliseconds.
 const (
-	reserveWait  = 400  // for the answer to a place asked ahead
-	releaseWait  = 100  // for a release that the next send waits for
-	releaseRetry = 50   // between tries of one at the end
-	releaseTotal = 2000 // of such tries
+	reserveWait  = 400   // for the answer to a place asked ahead
+	releaseWait  = 100   // for a release that the next send waits for
+	releaseTry   = 400   // for one try of a release: to connect, and to be answered
+	releaseFirst = 50    // to the next try; doubles up to the last
+	releaseLast  = 200   // between tries: an engine that is back gets its release in time
+	releaseTotal = 12000 // of tries, longer than networks were seen to be cut
 	probeWait    = 250
 	stopWait     = 3500  // of a begun answer's silence, from when on it may have stopped
 	stopLook     = 250   // between looks at it then
@@ -522,7 +524,11 @@
 	stop := h.g.clock.AfterFunc(wait, cancel)
 	var all sync.WaitGroup
 	for _, v := range engines {
-		all.Go(func() { h.g.release(ctx, v, h.id) })
+		all.Go(func() {
+			if !h.g.release(ctx, v, h.id) && !final {
+				h.add(v) // it is told again at the end
+			}
+		})
 	}
 	finish := func() {
 		all.Wait()
@@ -542,16 +548,21 @@
 	})
 }
 
-// release tries until a call has reached the engine or ctx ends.
-func (g *Gateway) release(ctx context.Context, v ashwood.Server, id ashwood.RequestID) {
-	for {
-		err := g.transport.Release(ctx, v, id)
-		if err == nil || ctx.Err() != nil {
-			return
+// release tries until a call has reached the engine or ctx ends. One written to a
+// connection that has gone silent is made again on another: each try is bounded.
+func (g *Gateway) release(ctx context.Context, v ashwood.Server, id ashwood.RequestID) bool {
+	for wait := float64(releaseFirst); ; wait = min(2*wait, releaseLast) {
+		try, cancel := context.WithCancel(ctx)
+		stop := g.clock.AfterFunc(releaseTry, cancel)
+		err := g.transport.Release(try, v, id)
+		stop()
+		cancel()
+		if err == nil {
+			return true
 		}
 		g.log.Debug("release", "id", id, "engine", v.ID, "err", err)
-		if clock.Wait(ctx, g.clock, releaseRetry) != nil {
-			return
+		if ctx.Err() != nil || clock.Wait(ctx, g.clock, wait) != nil {
+			return false
 		}
 	}
 }
