--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -171,5 +171,22 @@
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return wire.Targets{}, fmt.Errorf("platform: discovery answered %d", resp.StatusCode())
 	}
-	return wire.DecodeTargets(resp.Body())
+	t, err := wire.DecodeTargets(resp.Body())
+	if err != nil {
+		return wire.Targets{}, fmt.Errorf("platform: discovery: %w", err)
+	}
+	return t, once(t)
+}
+
+// once tells of a whole list that names an engine twice: which entry holds can't be
+// known. Among changes, where one may follow the other, the later one does.
+func once(t wire.Targets) error {
+	seen := map[ashwood.ServerID]bool{}
+	for _, v := range t.Engines {
+		if t.Whole && seen[v.ID] {
+			return fmt.Errorf("platform: discovery: the whole list names %q twice", v.ID)
+		}
+		seen[v.ID] = true
+	}
+	return nil
 }
