Ask engines of other zones, this gateway's own first, where holders are cut off

Change (gateway/holds.go): an engine that did not answer is no longer counted as heard; the ones asked next are of zones in which nothing has been silent, two at a time and of two zones, four times, and then any listed ones, this gateway's own zone first. The test fails with the order by time alone.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -173,7 +173,7 @@
 // New makes a gateway. Run must be running for it to serve.
 func New(set ashwood.Settings, seed int64, transport Transport, c Clock, log *slog.Logger) (*Gateway, error) {
 	g := &Gateway{transport: transport, clock: c, log: log, holdTime: clock.Millis(set.Rules.Release)}
-	g.owner = newOwner(g, set.Nodes, seed)
+	g.owner = newOwner(g, set, seed)
 	var err error
 	g.router, err = ashwood.NewRouter(set, seed, c, func(v ashwood.Server) { g.spawn(func() { g.probe(v) }) })
 	return g, err
@@ -264,6 +264,8 @@
 			}
 			if answered(ans.Status) {
 				g.owner.heard(step.Engine)
+			} else if ans.Status != ashwood.NotSent && ans.Status != ashwood.CalledOff {
+				g.owner.unheard(step.Engine.ID)
 			}
 			if ans.Err != nil {
 				last = ans.Err
@@ -384,6 +386,8 @@
 	status, report := g.transport.Probe(ctx, v)
 	if status == ashwood.Served {
 		g.owner.heard(v)
+	} else {
+		g.owner.unheard(v.ID)
 	}
 	g.log.Debug("probe", "engine", v.ID, "kind", v.Kind, "status", status, "ms", g.clock.Now()-begun, "report", report)
 	g.router.Probed(v.ID, status, report)
--- a/gateway/holds.go
+++ b/gateway/holds.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"math/rand"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/internal/clock"
@@ -23,7 +25,8 @@
 	releaseAge   = 60000 // after which an engine that takes no call is taken to be gone
 	releaseStop  = 2000  // for what is owed when the gateway ends
 	releaseMost  = 8192  // owed at once
-	witnesses    = 3     // other engines asked for one request
+	rounds       = 4     // times that others are told for one request, releaseWait apart
+	atATime      = 2     // of them
 	heardMost    = 32    // engines remembered as heard
 )
 
@@ -34,19 +37,23 @@
 
 	mu     sync.Mutex
 	ledger *release.Ledger
-	made   map[release.Key][]func()           // to be called when a release is owed no more
-	calls  map[release.Key]context.CancelFunc // those out
-	recent []ashwood.Server                   // that have answered, the latest first
-	stop   func() bool                        // the timer of the next call
-	idle   chan struct{}                      // closed when nothing is owed and the gateway ends
+	made   map[release.Key][]func()            // to be called when a release is owed no more
+	calls  map[release.Key]context.CancelFunc  // those out
+	recent []ashwood.Server                    // that have answered, and nothing failed since, the latest first
+	listed map[ashwood.ServerID]ashwood.Server // that may be sent to, as last told
+	zone   string                              // of this gateway
+	rand   *rand.Rand
+	stop   func() bool   // the timer of the next call
+	idle   chan struct{} // closed when nothing is owed and the gateway ends
 }
 
-func newOwner(g *Gateway, nodes int, seed int64) *owner {
+func newOwner(g *Gateway, set ashwood.Settings, seed int64) *owner {
+	random := rand.New(rand.NewSource(seed))
 	return &owner{
-		g: g, made: map[release.Key][]func(){}, calls: map[release.Key]context.CancelFunc{}, stop: func() bool { return true },
+		g: g, zone: set.Zone, rand: random, listed: map[ashwood.ServerID]ashwood.Server{}, made: map[release.Key][]func(){}, calls: map[release.Key]context.CancelFunc{}, stop: func() bool { return true },
 		ledger: release.New(release.Config{
-			First: releaseFirst, Last: max(releaseLast, releaseEach*float64(nodes)), MaxAge: releaseAge, Most: releaseMost,
-			Rand: rand.New(rand.NewSource(seed)),
+			First: releaseFirst, Last: max(releaseLast, releaseEach*float64(set.Nodes)), MaxAge: releaseAge, Most: releaseMost,
+			Rand: random,
 		}),
 	}
 }
@@ -86,15 +93,23 @@
 func (o *owner) update(form ashwood.ListForm, list []ashwood.Server) {
 	o.mu.Lock()
 	now := o.g.clock.Now()
-	there := map[ashwood.ServerID]bool{}
+	if form != ashwood.ListPatch {
+		clear(o.listed)
+	}
 	for _, v := range list {
-		there[v.ID] = true
 		o.ledger.Started(now, v.ID, clock.Millis(v.Started))
+		if delete(o.listed, v.ID); v.State == ashwood.StateOn {
+			o.listed[v.ID] = v
+		}
 		if v.State == ashwood.StateOff {
 			o.ledger.Left(v.ID)
 		}
 	}
 	if form == ashwood.ListWhole {
+		there := map[ashwood.ServerID]bool{}
+		for _, v := range list {
+			there[v.ID] = true
+		}
 		o.ledger.Missing(there)
 	}
 	o.act()
@@ -162,6 +177,8 @@
 	err := o.g.transport.Release(ctx, v, id, n > 0)
 	if err == nil {
 		o.heard(v)
+	} else {
+		o.unheard(v.ID)
 	}
 	o.g.log.Debug("release", "id", id, "engine", v.ID, "try", n, "ms", o.g.clock.Now()-begun, "err", err)
 	return err
@@ -185,17 +202,51 @@
 	o.recent[0] = v
 }
 
-// witness gives the engine heard last that may be sent to and is none of those.
-func (o *owner) witness(not map[ashwood.ServerID]bool) (ashwood.Server, bool) {
+// unheard tells of an engine that has not answered.
+func (o *owner) unheard(id ashwood.ServerID) {
 	o.mu.Lock()
-	recent := slices.DeleteFunc(slices.Clone(o.recent), func(v ashwood.Server) bool { return not[v.ID] || o.ledger.Failing(v.ID) })
+	defer o.mu.Unlock()
+	o.recent = slices.DeleteFunc(o.recent, func(v ashwood.Server) bool { return v.ID == id })
+}
+
+// witnesses gives up to n engines to be told in place of those, no two of a zone
+// if there are several: the ones heard last, in zones of which none has failed to
+// answer, and then any others there, this gateway's own zone first.
+func (o *owner) witnesses(n int, not map[ashwood.ServerID]bool, silent map[string]bool) (found []ashwood.Server) {
+	var recent, rest []ashwood.Server
+	o.mu.Lock()
+	for _, v := range o.recent {
+		if _, ok := o.listed[v.ID]; ok && !o.ledger.Failing(v.ID) {
+			recent = append(recent, v)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(o.listed)) {
+		if !o.ledger.Failing(id) {
+			rest = append(rest, o.listed[id])
+		}
+	}
+	o.rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
 	o.mu.Unlock()
-	for _, v := range recent {
-		if o.g.router.Accepts(v.ID) {
-			return v, true
+	slices.SortStableFunc(rest, func(a, b ashwood.Server) int {
+		near := map[bool]int{true: 0, false: 1}
+		return near[a.Zone == o.zone] - near[b.Zone == o.zone]
+	})
+	used := map[string]bool{}
+	for _, pass := range []struct {
+		from     []ashwood.Server
+		anywhere bool
+	}{{recent, false}, {rest, false}, {recent, true}, {rest, true}} {
+		if pass.anywhere && len(found) > 0 {
+			break
+		}
+		for _, v := range pass.from {
+			if len(found) < n && !not[v.ID] && (pass.anywhere || !silent[v.Zone] && !used[v.Zone]) {
+				found = append(found, v)
+				not[v.ID], used[v.Zone] = true, true
+			}
 		}
 	}
-	return ashwood.Server{}, false
+	return found
 }
 
 // failing tells whether none of these engines took the last call.
@@ -307,8 +358,8 @@
 
 // settle owes a release to engines. What it gives is to be called, and returns once
 // they have all got it or one of them is too slow. As the protocol has it, a call releases what is held at
-// whatever engine: where none of them could be told in time, engines that were
-// heard last are told in their place, and theirs stays owed.
+// whatever engine: where none of them could be told in time, others are told in
+// their place, and theirs stays owed.
 func (o *owner) settle(id ashwood.RequestID, engines []ashwood.Server) (wait func()) {
 	made, slow := make(chan struct{}, len(engines)), make(chan struct{})
 	patience := float64(releaseWait)
@@ -336,18 +387,27 @@
 		break
 	}
 	told += len(made) // those of the same moment
-	not := map[ashwood.ServerID]bool{}
-	for _, v := range engines {
-		not[v.ID] = true
+	if told > 0 {
+		return
 	}
-	for n := 0; n < witnesses && told == 0; n++ {
-		v, ok := o.witness(not)
-		if !ok {
-			return
+	not, silent := map[ashwood.ServerID]bool{}, map[string]bool{}
+	ask := engines
+	for n := 0; n < rounds; n++ {
+		for _, v := range ask {
+			not[v.ID], silent[v.Zone] = true, true
 		}
-		not[v.ID] = true
-		ctx, cancel := context.WithCancel(context.Background())
-		if o.try(ctx, cancel, v, id, n, releaseWait) == nil {
+		ask = o.witnesses(atATime, not, silent)
+		var got atomic.Bool
+		var all sync.WaitGroup
+		for _, v := range ask {
+			all.Go(func() {
+				ctx, cancel := context.WithCancel(context.Background())
+				if o.try(ctx, cancel, v, id, n, releaseWait) == nil {
+					got.Store(true)
+				}
+			})
+		}
+		if all.Wait(); got.Load() || len(made) > 0 || len(ask) == 0 {
 			return
 		}
 	}
--- a/gateway/holds_test.go
+++ b/gateway/holds_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -75,8 +76,9 @@
 	for _, back := range []bool{false, true} {
 		p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6}}
 		in(t, p, func(t *testing.T, g *Gateway) {
-			h, begun := held(g, "q", "r1"), time.Now()
+			h, begun := held(g, "q", "r1", "w1"), time.Now()
 			h.release(false)
+			p.wantNext(t, "w1")
 			if d := time.Since(begun); d > releaseWait*time.Millisecond {
 				t.Errorf("the request waited %v", d)
 			}
@@ -104,8 +106,9 @@
 	p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6, "w1": 1e6}}
 	in(t, p, func(t *testing.T, g *Gateway) {
 		for _, id := range []ashwood.ServerID{"w3", "w2"} {
-			g.Update(ashwood.ListPatch, []ashwood.Server{{ID: id, Kind: "w", State: ashwood.StateOn}})
-			g.owner.heard(ashwood.Server{ID: id})
+			v := ashwood.Server{ID: id, Kind: "w", Zone: "another", State: ashwood.StateOn}
+			g.Update(ashwood.ListPatch, []ashwood.Server{v})
+			g.owner.heard(v)
 		}
 		held(g, "q", "r1", "w1").release(true)
 		if d := p.wantNext(t, "w2"); d > releaseWait*time.Millisecond {
@@ -122,6 +125,30 @@
 	})
 }
 
+// Engines heard before a cut may all be behind it: other zones are asked next, this
+// gateway's own first, though nothing was heard from there.
+func TestEnginesOfOtherZonesAreToldNext(t *testing.T) {
+	p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6}}
+	in(t, p, func(t *testing.T, g *Gateway) {
+		g.owner.zone = "home"
+		for i, zone := range []string{"cut", "cut", "cut", "off", "home"} {
+			v := ashwood.Server{ID: ashwood.ServerID(fmt.Sprint("w", i+2)), Kind: "w", Zone: zone, State: ashwood.StateOn}
+			g.Update(ashwood.ListPatch, []ashwood.Server{v})
+			if zone != "home" {
+				p.silent[v.ID] = 1e6
+				g.owner.heard(v)
+			}
+		}
+		g.Update(ashwood.ListPatch, []ashwood.Server{{ID: "w1", Kind: "w", State: ashwood.StateOff}})
+		h := held(g, "q")
+		h.add(ashwood.Server{ID: "r1", Zone: "cut"})
+		h.release(true)
+		if d := p.wantNext(t, "w6"); d > 2*releaseWait*time.Millisecond {
+			t.Errorf("told after %v", d)
+		}
+	})
+}
+
 // A place whose answer comes after the request's end is let go of then, and no
 // other engine's release has waited for it.
 func TestPlaceAnsweredAfterTheEnd(t *testing.T) {
