End an answer that stopped after one event where its engine says that nothing waits

At fault: scheduler.stopped, which had no other evidence.

Change: above eight gateways an answer silent for 3.5 s after its first event has its engine asked for its load, and is ended where nothing waits there; where it hangs, the fleet's work waits. A hang is waited for as before. Small fleets: no change.

--- a/facade.go
+++ b/facade.go
@@ -221,11 +221,13 @@
 }
 
 // Stopped tells whether an answer that has brought nothing since a time will not
-// go on, so that it is to be ended as broken.
-func (t *Router) Stopped(id RequestID, attempt int, since float64) bool {
+// go on, so that it is to be ended as broken. First says that it has brought one
+// event alone. Ask says that a probe of its engine would tell.
+func (t *Router) Stopped(id RequestID, attempt int, since float64, first bool) (over, ask bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.sched.stopped(id, attempt, duration(since))
+	t.sched.now = max(t.sched.now, t.now())
+	return t.sched.stopped(id, attempt, duration(since), first)
 }
 
 // Place tells whether a place asked for ahead is held, and gives the writer
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -308,7 +308,7 @@
 	if ans.Status == ashwood.Served {
 		if inTime && g.router.Begun(req.ID, step.Attempt) {
 			h.begin()
-			ans.Stream = &stream{Stream: ans.Stream, g: g, ctx: ctx, id: req.ID, attempt: step.Attempt, cancel: cancel}
+			ans.Stream = &stream{Stream: ans.Stream, g: g, ctx: ctx, id: req.ID, attempt: step.Attempt, engine: step.Engine, cancel: cancel}
 			return ans, ashwood.Step{}
 		}
 		ans.Stream.Close()
@@ -401,6 +401,8 @@
 	id      ashwood.RequestID
 	attempt int
 	cancel  context.CancelCauseFunc
+	engine  ashwood.Server
+	pieces  int // brought so far
 	class   string
 	begun   float64 // when the request was taken
 	ended   bool
@@ -415,6 +417,7 @@
 	stop()
 	switch {
 	case err == nil:
+		s.pieces++
 	case errors.Is(err, io.EOF):
 		s.end(ashwood.Served)
 	case s.ctx.Err() != nil:
@@ -432,7 +435,7 @@
 	var mu sync.Mutex
 	var cancel func() bool
 	var look func()
-	over, since := false, s.g.clock.Now()
+	over, first, since := false, s.pieces == 1, s.g.clock.Now()
 	arm := func(ms float64) {
 		mu.Lock()
 		defer mu.Unlock()
@@ -441,10 +444,14 @@
 		}
 	}
 	look = func() {
-		if s.g.clock.Now()-since >= stallWait || s.g.router.Stopped(s.id, s.attempt, since) {
+		stopped, ask := s.g.router.Stopped(s.id, s.attempt, since, first)
+		if stopped || s.g.clock.Now()-since >= stallWait {
 			s.cancel(ErrStalled)
 			return
 		}
+		if ask {
+			s.g.spawn(func() { s.g.probe(s.engine) })
+		}
 		arm(stopLook)
 	}
 	arm(stopWait)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -31,6 +31,7 @@
 	silent    map[ashwood.ServerID]int // releases written to a connection gone silent
 	fresh     []bool                   // whether each release was to go on a new connection
 	probed    chan string              // gets each engine asked for its load
+	load      ashwood.Report           // what probes tell
 	nodes     int                      // gateways, one by default; with more, loads are asked for
 	asked     chan struct{}            // gets a value when a place is asked for
 	answer    chan struct{}            // if set, a place is answered when it closes
@@ -112,7 +113,7 @@
 
 func (p *peer) Probe(_ context.Context, v ashwood.Server) (ashwood.Status, ashwood.Report) {
 	p.probed <- string(v.ID)
-	return ashwood.Served, nil
+	return ashwood.Served, p.load
 }
 
 // pieces is a stream that ends with err.
--- a/gateway/holds_test.go
+++ b/gateway/holds_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -174,3 +175,32 @@
 		}
 	})
 }
+
+// An answer that brought one event and no more has stopped where its engine says
+// that nothing waits there; one whose work waits may hang, and is waited for.
+func TestStoppedAnswerIsToldFromAHang(t *testing.T) {
+	for waits, want := range map[float64]time.Duration{0: stopWait + stopLook, 5: stallWait} {
+		stalled := &stalls{pieces: pieces{left: []string{"a"}}, waiting: make(chan struct{})}
+		p := &peer{nodes: 300, place: PlaceRefused, load: ashwood.Report{ashwood.ReportQueue: waits, ashwood.ReportInFlight: 9},
+			answers: map[ashwood.ServerID][]Answer{
+				"r1": {answer(ashwood.Parsed)}, "w1": {{Result: ashwood.Result{Status: ashwood.Served}, Stream: stalled}}}}
+		synctest.Test(t, func(t *testing.T) {
+			g := startAt(t, p, SystemClock())
+			p.probed = make(chan string, 99)
+			stalled.waiting = make(chan struct{})
+			r := serve(t, g, t.Context(), "chat")
+			if piece, err := r.Stream.Next(); string(piece) != "a" || err != nil {
+				t.Fatal(string(piece), err)
+			}
+			begun := time.Now()
+			if _, err := r.Stream.Next(); !errors.Is(err, ErrStalled) {
+				t.Errorf("ended with %v", err)
+			}
+			if d := time.Since(begun); d != want*time.Millisecond {
+				t.Errorf("%v wait there: ended after %v", waits, d)
+			}
+			r.Stream.Close()
+			g.Wait()
+		})
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -39,10 +39,11 @@
 	nearRoom     = 0.5                   // of the best room anywhere that a nearer writer needs
 	slowRefusal  = 20                    // of the aim, from which a refusal is of this kind alone
 	tollLimit    = 0.5
-	spread       = 3                      // readers for a prefix, in parts of what its share of traffic needs
-	probesAtOnce = 2                      // for one choice
-	probeWait    = 5 * time.Millisecond   // for an answer before a choice
-	probeEvery   = 500 * time.Millisecond // where load is told on probes alone
+	spread       = 3                       // readers for a prefix, in parts of what its share of traffic needs
+	probesAtOnce = 2                       // for one choice
+	probeWait    = 5 * time.Millisecond    // for an answer before a choice
+	probeEvery   = 500 * time.Millisecond  // where load is told on probes alone
+	stopSure     = 3500 * time.Millisecond // of silence, in which work comes to wait where a server hangs
 )
 
 // New makes a scheduler. Figures left at zero mean: no cap on attempts, one
@@ -452,10 +453,19 @@
 
 // stopped tells of an answer, silent since a time, that will not go on although its
 // server is at work: that has begun what was sent later, and an answer that it took
-// back for want of memory would have been before it in the queue.
-func (s *Scheduler) stopped(id RequestID, n int, since time.Duration) bool {
+// back for want of memory would have been before it in the queue. Many nodes seldom
+// have other work there: one with no second event stops where nothing waits, by the
+// server's word; where that hangs, all nodes' work has come to wait.
+func (s *Scheduler) stopped(id RequestID, n int, since time.Duration, first bool) (over, ask bool) {
 	r := s.reqs[id]
-	return r != nil && n < len(r.attempts) && r.attempts[n].srv.began[r.attempts[n].stage] > since
+	if r == nil || n >= len(r.attempts) {
+		return false, false
+	}
+	v := r.attempts[n].srv
+	waits, told := v.report[ReportQueue]
+	ask = first && s.set.Nodes > manyNodes && s.set.Limits.Probes && s.now-since < 2*stopSure
+	idle := told && waits < 1 && v.reportAt-since >= stopSure
+	return v.began[r.attempts[n].stage] > since || ask && idle, ask
 }
 
 func (s *Scheduler) outcome(e Outcome) {
