--- a/gateway/holds.go
+++ b/gateway/holds.go
@@ -154,7 +154,8 @@
 func (o *owner) report(e release.Ended) {
 	switch e.End {
 	case release.TooOld, release.Crowded:
-		o.g.log.Warn("release given up: the engine may go on holding something", "id", e.Request, "engine", e.Engine, "why", e.End.String(), "ms", e.Age)
+		o.g.log.Warn("release given up", // the engine may go on holding something
+			"id", e.Request, "engine", e.Engine, "why", e.End.String(), "ms", e.Age)
 	default:
 		o.g.log.Debug("released", "id", e.Request, "engine", e.Engine, "end", e.End.String(), "ms", e.Age)
 	}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -67,6 +67,7 @@
 var wanted = map[string][]string{
 	"attempt": {"engine", "status", "ms"}, "answer": {"kind"}, "probe": {"engine", "status"}, "place": {"engine", "answer"},
 	"list": {"err"}, "connect": {"address", "err"}, "news": {"engine", "state", "started"},
+	"release": {"engine", "try", "err"}, "release given up": {"engine", "why"},
 }
 
 // Read counts the logs of a folder, a file (*.log) for each gateway. For cold
@@ -197,6 +198,16 @@
 			what = "probe " + name(statuses, v["status"])
 		case "place":
 			what = "place " + name(places, v["answer"])
+		case "release":
+			if what = "release made"; v["err"] != "<nil>" {
+				what = "release failed"
+			}
+			if v["try"] != "0" {
+				f.Seconds[len(f.Seconds)-1]["release repeated"]++
+				e.Counts["release repeated"]++
+			}
+		case "release given up":
+			what = l.msg
 		case "list", "connect":
 			if what = l.msg + " ok"; v["err"] != "<nil>" {
 				what = l.msg + " failed"
--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -43,6 +43,9 @@
 			at2+"msg=attempt id=q2 class=c engine=r1\n"+ // cut short
 			at2+"msg=answer id=q2 class=c kind=refused ms=260 why=no-room err=<nil>\n"+
 			at2+"msg=place id=q2 engine=r1 answer=2\n"+
+			at2+"msg=release id=q2 engine=r1 try=0 ms=300 err=timeout\n"+
+			at2+"msg=release id=q2 engine=r1 try=1 ms=1 err=<nil>\n"+
+			at2+`msg="release given up" id=q3 engine=r1 why="too old" ms=60000`+"\n"+
 			at2+"msg=probe engine=r1 kind=prefill status=1 ms=2 report=map[]\n")
 	f, err := Read(dir, 12*time.Second)
 	if err != nil {
@@ -50,7 +53,8 @@
 	}
 	want := []Counts{
 		{}, {"attempt read": 1, "cold send": 1, "list failed": 1, "connect ok": 1},
-		{"attempt turned-away": 1, "cold send": 1, "refused no-room": 1, "place refused": 1, "probe served": 1},
+		{"attempt turned-away": 1, "cold send": 1, "refused no-room": 1, "place refused": 1, "probe served": 1,
+			"release failed": 1, "release made": 1, "release repeated": 1, "release given up": 1},
 	}
 	if diff := cmp.Diff(want, f.Seconds); diff != "" {
 		t.Error(diff)
