Have late places let go of by way of other engines too where their writer is cut off

At fault: holds.add after the end, addLate and begin owed the release without looking after it.

Change: all three go the way that a final release goes. The test fails without it.

--- a/gateway/holds.go
+++ b/gateway/holds.go
@@ -61,16 +61,11 @@
 // owe has an engine told, from now on until it has been. made is called, holding
 // no lock, once that is over.
 func (o *owner) owe(id ashwood.RequestID, engines []ashwood.Server, made func()) {
-	if len(engines) == 0 {
-		return
-	}
 	o.mu.Lock()
 	for _, v := range engines {
 		k := release.Key{Engine: v.ID, Request: id}
 		o.ledger.Owe(o.g.clock.Now(), v, id)
-		if made != nil {
-			o.made[k] = append(o.made[k], made)
-		}
+		o.made[k] = append(o.made[k], made)
 	}
 	o.act()
 }
@@ -298,7 +293,7 @@
 	}
 	h.mu.Unlock()
 	if over {
-		h.owner.owe(h.id, []ashwood.Server{v}, nil)
+		h.owner.tell(h.id, []ashwood.Server{v})
 	} else {
 		h.owner.withdraw(h.id, v.ID)
 	}
@@ -315,7 +310,7 @@
 	}
 	h.mu.Unlock()
 	if begun {
-		h.owner.owe(h.id, []ashwood.Server{v}, nil)
+		h.owner.tell(h.id, []ashwood.Server{v})
 	} else {
 		h.add(v)
 	}
@@ -327,7 +322,7 @@
 	late := h.late
 	h.begun, h.late = true, nil
 	h.mu.Unlock()
-	h.owner.owe(h.id, late, nil)
+	h.owner.tell(h.id, late)
 }
 
 // take empties the set, for its engines to be told.
@@ -350,10 +345,17 @@
 	if len(engines) == 0 {
 		return
 	}
-	if wait := h.owner.settle(h.id, engines); final {
-		h.owner.g.spawn(wait)
+	if final {
+		h.owner.tell(h.id, engines)
 	} else {
-		wait()
+		h.owner.settle(h.id, engines)()
+	}
+}
+
+// tell owes a release to engines and sees to it beside the request.
+func (o *owner) tell(id ashwood.RequestID, engines []ashwood.Server) {
+	if len(engines) > 0 {
+		o.g.spawn(o.settle(id, engines))
 	}
 }
 
--- a/gateway/holds_test.go
+++ b/gateway/holds_test.go
@@ -163,6 +163,26 @@
 	})
 }
 
+// A place that a silent writer may hold, known of only after the answer has begun or
+// ended, is let go of by way of another engine like any other.
+func TestLatePlaceAtASilentWriter(t *testing.T) {
+	for name, late := range map[string]func(*holds, ashwood.Server){
+		"told after the begin": func(h *holds, v ashwood.Server) { h.begin(); h.addLate(v) },
+		"told before it":       func(h *holds, v ashwood.Server) { h.addLate(v); h.begin() },
+		"told after the end":   func(h *holds, v ashwood.Server) { h.release(true); h.add(v) },
+	} {
+		p := &peer{silent: map[ashwood.ServerID]int{"w1": 1e6}}
+		in(t, p, func(t *testing.T, g *Gateway) {
+			v := ashwood.Server{ID: "w2", Kind: "w", Zone: "another", State: ashwood.StateOn}
+			g.Update(ashwood.ListPatch, []ashwood.Server{v, {ID: "r1", Kind: "r", State: ashwood.StateOff}})
+			late(held(g, "q"), ashwood.Server{ID: "w1"})
+			if d := p.wantNext(t, "w2"); d > releaseWait*time.Millisecond {
+				t.Errorf("%s: after %v", name, d)
+			}
+		})
+	}
+}
+
 // At the gateway's end what can't be let go of is given up after releaseStop.
 func TestStopGivesUpWhatNoEngineTakes(t *testing.T) {
 	p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6}}
