Make a release again where an attempt was given up that its engine may not have seen end

Its history: refused at 1913.6, "let go of at prefill-2" at 1914.4, and only at 1916.3 "decode-a-2: givenup". A release lets go of what no attempt waits for; this one came 1.9 ms before the writer had seen the attempt's connection close, let go of nothing, and counted as made. Checked and ruled out: the call had arrived (it stands in the history) and the writer's own releases went on to the end; the reader's was the only one, since Done took its 204 as the end (ledger.go). Change: a release after an attempt without an answer, or after a call for a place that was given up, is in doubt: made again after 150 ms, and 300 ms later, within the rule's 800. The request sent somewhere meanwhile, it is not, and those engines are told again at its end. Shown: TestDoubtfulReleaseIsMadeAgain and TestDoubtfulAndOvertaken fail without it (1 call in place of 3; made by a call of before).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -322,6 +322,9 @@
 		}
 	}
 	cancel(nil)
+	if ans.Status == ashwood.ConnectionLost || ans.Status == ashwood.CalledOff || ans.Status == ashwood.NoAnswer {
+		h.doubt()
+	}
 	return ans, g.router.Report(req.ID, step.Attempt, ans.Result)
 }
 
@@ -354,6 +357,9 @@
 		case PlaceHeld, PlaceRefused:
 			g.owner.heard(v)
 		}
+		if place == PlaceUnknown && ctx.Err() != nil { // given up; an answer that tells nothing ends the call
+			h.doubt()
+		}
 		switch {
 		case place != PlaceHeld && place != PlaceUnknown:
 		case reading.Err() != nil:
--- a/gateway/holds.go
+++ b/gateway/holds.go
@@ -28,6 +28,8 @@
 	rounds       = 4     // times that others are told for one request, releaseWait apart
 	atATime      = 2     // of them
 	heardMost    = 32    // engines remembered as heard
+	againFirst   = 150   // from a doubtful release that was made to the next
+	againNext    = 300   // and to the last one, within the rule's time
 )
 
 // owner is the one owner of what is held and wanted no more: it makes the calls
@@ -53,27 +55,31 @@
 		g: g, zone: set.Zone, rand: random, listed: map[ashwood.ServerID]ashwood.Server{}, made: map[release.Key][]func(){}, calls: map[release.Key]context.CancelFunc{}, stop: func() bool { return true },
 		ledger: release.New(release.Config{
 			First: releaseFirst, Last: max(releaseLast, releaseEach*float64(set.Nodes)), MaxAge: releaseAge, Most: releaseMost,
-			Rand: random,
+			Again: []float64{againFirst, againNext}, Rand: random,
 		}),
 	}
 }
 
 // owe has an engine told, from now on until it has been. made is called, holding
-// no lock, once that is over.
-func (o *owner) owe(id ashwood.RequestID, engines []ashwood.Server, made func()) {
+// no lock, once that is over. For doubtful, see release.Ledger.Owe.
+func (o *owner) owe(id ashwood.RequestID, engines []ashwood.Server, doubtful bool, made func()) {
 	o.mu.Lock()
 	for _, v := range engines {
 		k := release.Key{Engine: v.ID, Request: id}
-		o.ledger.Owe(o.g.clock.Now(), v, id)
+		o.ledger.Owe(o.g.clock.Now(), v, id, doubtful)
 		o.made[k] = append(o.made[k], made)
 	}
 	o.act()
 }
 
-// withdraw tells that a request is about to be sent to an engine again.
-func (o *owner) withdraw(id ashwood.RequestID, engine ashwood.ServerID) {
+// withdraw tells that a request has been sent to an engine, and which others were
+// told to let go of it before in doubt.
+func (o *owner) withdraw(id ashwood.RequestID, engine ashwood.ServerID, told []ashwood.Server) {
 	k := release.Key{Engine: engine, Request: id}
 	o.mu.Lock()
+	for _, v := range told {
+		o.ledger.Resumed(o.g.clock.Now(), release.Key{Engine: v.ID, Request: id})
+	}
 	if !o.ledger.Withdraw(o.g.clock.Now(), k) {
 		o.mu.Unlock()
 		return
@@ -161,7 +167,7 @@
 	err := o.try(ctx, cancel, c.Engine, c.Request, c.Try, releaseTry)
 	o.mu.Lock()
 	delete(o.calls, c.Key)
-	o.ledger.Done(o.g.clock.Now(), c.Key, err == nil)
+	o.ledger.Done(o.g.clock.Now(), c, err == nil)
 	o.act()
 }
 
@@ -277,85 +283,102 @@
 	owner *owner
 	id    ashwood.RequestID
 
-	mu      sync.Mutex
-	engines map[ashwood.ServerID]ashwood.Server
-	late    []ashwood.Server // places answered after the read
-	begun   bool             // the answer has
-	over    bool             // the request has its final answer
+	mu       sync.Mutex
+	engines  map[ashwood.ServerID]ashwood.Server
+	late     []ashwood.Server // places answered after the read
+	told     []ashwood.Server // in doubt, while the request goes on
+	doubtful bool             // an engine may not have seen an attempt or a call to end
+	begun    bool             // the answer has
+	over     bool             // the request has its final answer
 }
 
 // add notes an engine. After the final answer it is to be told at once.
 func (h *holds) add(v ashwood.Server) {
 	h.mu.Lock()
-	over := h.over
+	over, doubtful, told := h.over, h.doubtful, h.told
 	if !over {
 		h.engines[v.ID] = v
 	}
 	h.mu.Unlock()
 	if over {
-		h.owner.tell(h.id, []ashwood.Server{v})
+		h.owner.tell(h.id, []ashwood.Server{v}, doubtful)
 	} else {
-		h.owner.withdraw(h.id, v.ID)
+		h.owner.withdraw(h.id, v.ID, told)
 	}
 }
 
+// doubt tells that an attempt or a call for a place was given up: its engine may
+// see that only after a release.
+func (h *holds) doubt() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.doubtful = true
+}
+
 // addLate notes a writer whose place was answered only after the read. The call
 // may have come there after the answer's first token, which then did not let go
 // of the place: it is let go of by itself once the answer has begun.
 func (h *holds) addLate(v ashwood.Server) {
 	h.mu.Lock()
-	begun := h.begun
+	begun, doubtful := h.begun, h.doubtful
 	if !begun {
 		h.late = append(h.late, v)
 	}
 	h.mu.Unlock()
 	if begun {
-		h.owner.tell(h.id, []ashwood.Server{v})
+		h.owner.tell(h.id, []ashwood.Server{v}, doubtful)
 	} else {
 		h.add(v)
 	}
 }
 
-// begin tells that the answer has begun.
+// begin tells that the answer has begun, with which all else that is held goes.
 func (h *holds) begin() {
 	h.mu.Lock()
-	late := h.late
-	h.begun, h.late = true, nil
+	late, doubtful := h.late, h.doubtful
+	h.begun, h.late, h.told = true, nil, nil
 	h.mu.Unlock()
-	h.owner.tell(h.id, late)
+	h.owner.tell(h.id, late, doubtful)
 }
 
-// take empties the set, for its engines to be told.
-func (h *holds) take(final bool) []ashwood.Server {
+// take empties the set, for its engines to be told. Those told in doubt while the
+// request went on are told again at its end.
+func (h *holds) take(final bool) (engines []ashwood.Server, doubtful bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.over = h.over || final
-	engines := make([]ashwood.Server, 0, len(h.engines))
-	for _, v := range h.engines {
-		engines = append(engines, v)
+	if final {
+		for _, v := range h.told {
+			h.engines[v.ID] = v
+		}
 	}
+	engines = slices.Collect(maps.Values(h.engines))
 	clear(h.engines)
-	return engines
+	if doubtful = h.doubtful; doubtful && !final {
+		h.told = append(h.told, engines...)
+		h.doubtful = false
+	}
+	return engines, doubtful
 }
 
 // release has all engines told that may hold something. While the request goes on,
 // its next send waits a little, so that the release does not overtake it.
 func (h *holds) release(final bool) {
-	engines := h.take(final)
+	engines, doubtful := h.take(final)
 	if len(engines) == 0 {
 		return
 	}
 	if final {
-		h.owner.tell(h.id, engines)
+		h.owner.tell(h.id, engines, doubtful)
 	} else {
-		h.owner.settle(h.id, engines)()
+		h.owner.settle(h.id, engines, doubtful)()
 	}
 }
 
 // tell owes a release to engines and sees to it beside the request.
-func (o *owner) tell(id ashwood.RequestID, engines []ashwood.Server) {
+func (o *owner) tell(id ashwood.RequestID, engines []ashwood.Server, doubtful bool) {
 	if len(engines) > 0 {
-		o.g.spawn(o.settle(id, engines))
+		o.g.spawn(o.settle(id, engines, doubtful))
 	}
 }
 
@@ -363,14 +386,14 @@
 // they have all got it or one of them is too slow. As the protocol has it, a call releases what is held at
 // whatever engine: where none of them could be told in time, others are told in
 // their place, and theirs stays owed.
-func (o *owner) settle(id ashwood.RequestID, engines []ashwood.Server) (wait func()) {
+func (o *owner) settle(id ashwood.RequestID, engines []ashwood.Server, doubtful bool) (wait func()) {
 	made, slow := make(chan struct{}, len(engines)), make(chan struct{})
 	patience := float64(releaseWait)
 	if o.failing(engines) {
 		patience = 0
 	}
 	stop := o.g.clock.AfterFunc(patience, func() { close(slow) })
-	o.owe(id, engines, func() { made <- struct{}{} })
+	o.owe(id, engines, doubtful, func() { made <- struct{}{} })
 	return func() {
 		defer stop()
 		o.see(id, engines, made, slow)
--- a/gateway/holds_test.go
+++ b/gateway/holds_test.go
@@ -3,10 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"ashwood.example/ashwood"
 )
 
@@ -183,6 +186,53 @@
 	}
 }
 
+// An engine may see that an attempt was given up only after the release, which then
+// lets go of nothing: it is told again, and once more. After an attempt that it has
+// answered it is told once; told in doubt while the request went on, again at its end.
+func TestDoubtfulReleaseIsMadeAgain(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		class string
+		w1    []Answer // none = hang until the time is up
+		want  map[string]int
+	}{
+		{"given up", "order", nil, map[string]int{"r1": 3, "w1": 3}},
+		{"connection lost", "order", []Answer{answer(ashwood.ConnectionLost)}, map[string]int{"r1": 3, "w1": 3}},
+		{"answered", "order", []Answer{answer(ashwood.ServerError)}, map[string]int{"r1": 1, "w1": 1}},
+	} {
+		p := &peer{place: PlaceUnasked, answers: map[ashwood.ServerID][]Answer{"r1": {answer(ashwood.Parsed)}, "w1": tt.w1}}
+		in(t, p, func(t *testing.T, g *Gateway) {
+			serve(t, g, t.Context(), tt.class)
+			time.Sleep((releaseWait + againFirst + againNext) * time.Millisecond)
+			got := map[string]int{}
+			for len(p.freed) > 0 {
+				got[<-p.freed]++
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("%s: %s", tt.name, diff)
+			}
+		})
+	}
+	p := &peer{}
+	in(t, p, func(t *testing.T, g *Gateway) {
+		h := held(g, "q", "r1")
+		h.doubt()
+		h.release(false)
+		p.wantNext(t, "r1")
+		h.add(ashwood.Server{ID: "r2"})
+		time.Sleep(time.Second)
+		if len(p.freed) > 0 {
+			t.Error("told again while what is sent since may be held")
+		}
+		h.release(true)
+		got := []string{<-p.freed, <-p.freed}
+		slices.Sort(got)
+		if diff := cmp.Diff([]string{"r1", "r2"}, got); diff != "" {
+			t.Errorf("at the end: %s", diff)
+		}
+	})
+}
+
 // At the gateway's end what can't be let go of is given up after releaseStop.
 func TestStopGivesUpWhatNoEngineTakes(t *testing.T) {
 	p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6}}
--- a/internal/release/ledger.go
+++ b/internal/release/ledger.go
@@ -7,6 +7,10 @@
 // is known to have started anew, or one of the bounds in Config is met. An engine
 // that does not answer gets one call at a time, however many requests it may hold
 // something for; once one has got through, the others follow at once.
+//
+// A release lets go only of what no attempt waits for. Where an attempt has just
+// been given up, its engine may see that after the call: such a release is doubtful,
+// and is made again a little later.
 package release
 
 import (
@@ -23,6 +27,7 @@
 	First  float64    // ms from a call that failed to the next at the same engine
 	Last   float64    // ms, to which that doubles
 	MaxAge float64    // ms after which a release that fails is given up
+	Again  []float64  // ms, from a doubtful release that was made to the next, for each
 	Most   int        // releases owed at once; for one more, the oldest is given up
 	Rand   *rand.Rand // of the waits
 }
@@ -38,6 +43,7 @@
 	Key
 	Engine ashwood.Server
 	Try    int // from 0; after a first one, connections that were there then are not to be trusted
+	number int // of all calls
 }
 
 // End tells why a release is owed no more.
@@ -75,6 +81,7 @@
 	engines map[ashwood.ServerID]*engine
 	order   list.List // of *debt, the longest owed first
 	ended   []Ended
+	calls   int
 }
 
 type engine struct {
@@ -88,12 +95,15 @@
 }
 
 type debt struct {
-	key   Key
-	since float64
-	tries int
-	out   bool
-	again bool // it came to hold something more while a call was out
-	place *list.Element
+	key      Key
+	since    float64
+	tries    int
+	out      int  // the number of its call that is out; 0 = none
+	again    bool // it came to hold something more while a call was out
+	doubtful bool
+	made     int     // times that a doubtful one has been; its end is told with the first
+	from     float64 // the next one is not to be made before
+	place    *list.Element
 }
 
 // New makes a ledger in which nothing is owed.
@@ -109,8 +119,9 @@
 }
 
 // Owe notes that an engine has to be told. Owed already, it is owed for what it
-// may have come to hold since as well.
-func (l *Ledger) Owe(now float64, v ashwood.Server, id ashwood.RequestID) {
+// may have come to hold since as well. Doubtful says that an attempt or a call for
+// a place was given up which an engine may not have seen to end yet.
+func (l *Ledger) Owe(now float64, v ashwood.Server, id ashwood.RequestID, doubtful bool) {
 	e := l.engines[v.ID]
 	if e == nil {
 		e = &engine{debts: map[ashwood.RequestID]*debt{}, pace: pacing.Backoff{First: l.cfg.First, Last: l.cfg.Last, Rand: l.cfg.Rand}}
@@ -118,7 +129,8 @@
 	}
 	e.Server, e.gone = v, false
 	if d := e.debts[id]; d != nil {
-		d.since, d.again = now, d.out
+		d.since, d.again, d.from = now, d.out > 0, now
+		d.doubtful, d.made = d.doubtful || doubtful, 0
 		l.order.MoveToBack(d.place)
 		return
 	}
@@ -126,7 +138,7 @@
 		l.end(l.order.Front().Value.(*debt), now, Crowded)
 		l.engines[v.ID] = e // its last debt may have been the oldest
 	}
-	d := &debt{key: Key{v.ID, id}, since: now}
+	d := &debt{key: Key{v.ID, id}, since: now, from: now, doubtful: doubtful}
 	d.place = l.order.PushBack(d)
 	e.debts[id] = d
 }
@@ -141,6 +153,14 @@
 	return d != nil
 }
 
+// Resumed tells that a request is being sent somewhere: a doubtful release that has
+// been made once is not made again, or it might let go of what comes to be held now.
+func (l *Ledger) Resumed(now float64, k Key) {
+	if d := l.find(k); d != nil && d.made > 0 {
+		l.end(d, now, Withdrawn)
+	}
+}
+
 // Started tells that an engine has started anew at a time in ms: what was owed
 // before is held no more.
 func (l *Ledger) Started(now float64, id ashwood.ServerID, at float64) {
@@ -178,26 +198,29 @@
 		d := p.Value.(*debt)
 		e := l.engines[d.key.Engine]
 		switch {
-		case d.out || e.out >= atOnce || e.fails > 0 && e.out > 0:
+		case d.out > 0 || e.out >= atOnce || e.fails > 0 && e.out > 0:
+		case now < d.from:
+			next = min(next, d.from-now)
 		case e.fails > 0 && now < e.next:
 			next = min(next, e.next-now)
 		default:
-			d.out, e.out = true, e.out+1
-			calls = append(calls, Call{Key: d.key, Engine: e.Server, Try: max(d.tries, e.fails)})
+			l.calls++
+			d.out, e.out = l.calls, e.out+1
+			calls = append(calls, Call{Key: d.key, Engine: e.Server, Try: max(d.tries, e.fails), number: l.calls})
 			d.tries++
 		}
 	}
 	return calls, next
 }
 
-// Done tells whether a call has got through to an engine that runs.
-func (l *Ledger) Done(now float64, k Key, made bool) {
-	e := l.engines[k.Engine]
+// Done tells whether a call has got through to an engine that runs. A call of
+// a release that was withdrawn since counts for its engine alone.
+func (l *Ledger) Done(now float64, c Call, made bool) {
+	e := l.engines[c.Key.Engine]
 	if e == nil {
 		return
 	}
 	e.out = max(e.out-1, 0)
-	d := l.find(k)
 	if made {
 		e.fails, e.next = 0, 0
 		e.pace.Reset()
@@ -205,25 +228,38 @@
 		e.fails++
 		e.next = now + e.pace.Next()
 	}
-	if d == nil || !d.out {
+	d := l.find(c.Key)
+	if d == nil || d.out != c.number {
 		if len(e.debts) == 0 && e.out == 0 {
-			delete(l.engines, k.Engine)
+			delete(l.engines, c.Key.Engine)
 		}
 		return
 	}
-	d.out = false
-	switch again := d.again; {
-	case made && !again:
+	again := d.again
+	d.out, d.again = 0, false
+	switch {
+	case made && again:
+	case made && d.doubtful && d.made < len(l.cfg.Again):
+		l.repeat(d, now)
+	case made:
 		l.end(d, now, Made)
-	case !made && e.gone:
+	case e.gone:
 		l.end(d, now, Restarted)
-	case !made && now-d.since >= l.cfg.MaxAge:
+	case now-d.since >= l.cfg.MaxAge:
 		l.end(d, now, TooOld)
-	default:
-		d.again = false
 	}
 }
 
+// repeat has a release that was made made again.
+func (l *Ledger) repeat(d *debt, now float64) {
+	if d.made == 0 {
+		l.ended = append(l.ended, Ended{d.key, Made, now - d.since})
+	}
+	d.from = now + l.cfg.Again[d.made]
+	d.made++
+	d.tries = 0
+}
+
 // Abandon ends all that is owed, where the caller will make no more calls.
 func (l *Ledger) Abandon(now float64) {
 	for l.order.Len() > 0 {
@@ -251,5 +287,7 @@
 	if delete(e.debts, d.key.Request); len(e.debts) == 0 && e.out == 0 {
 		delete(l.engines, d.key.Engine)
 	}
-	l.ended = append(l.ended, Ended{d.key, why, now - d.since})
+	if d.made == 0 {
+		l.ended = append(l.ended, Ended{d.key, why, now - d.since})
+	}
 }
--- a/internal/release/ledger_test.go
+++ b/internal/release/ledger_test.go
@@ -10,7 +10,7 @@
 )
 
 func ledger(most int) *Ledger {
-	return New(Config{First: 50, Last: 200, MaxAge: 60000, Most: most, Rand: rand.New(rand.NewSource(1))})
+	return New(Config{First: 50, Last: 200, MaxAge: 60000, Again: []float64{150, 300}, Most: most, Rand: rand.New(rand.NewSource(1))})
 }
 
 func server(id string) ashwood.Server { return ashwood.Server{ID: ashwood.ServerID(id)} }
@@ -40,19 +40,19 @@
 // connect of its return, and no more calls than the waits allow.
 func TestCutOffEngineIsToldOnceItIsBack(t *testing.T) {
 	l := ledger(10)
-	l.Owe(0, server("a"), "q")
+	l.Owe(0, server("a"), "q", false)
 	calls, made := 0, 0.0
 	for now := 0.0; made == 0 && now < 10000; {
 		got, next := l.Due(now)
 		for _, c := range got {
 			calls++
 			if now >= 6000 {
-				l.Done(now, c.Key, true)
+				l.Done(now, c, true)
 				made = now
 				continue
 			}
 			now += 250 // a connect that does not come up
-			l.Done(now, c.Key, false)
+			l.Done(now, c, false)
 			_, next = l.Due(now)
 		}
 		if math.IsInf(next, 1) {
@@ -72,13 +72,13 @@
 // engine's are not held up, and what waits follows once one has got through.
 func TestSilentEngineGetsOneCallAtATime(t *testing.T) {
 	l := ledger(100)
-	l.Owe(0, server("a"), "q0")
+	l.Owe(0, server("a"), "q0", false)
 	first := due(t, l, 0, 1)[0]
-	l.Done(300, first.Key, false)
+	l.Done(300, first, false)
 	for i := 1; i < 20; i++ {
-		l.Owe(300, server("a"), ashwood.RequestID(fmt.Sprint("q", i)))
+		l.Owe(300, server("a"), ashwood.RequestID(fmt.Sprint("q", i)), false)
 	}
-	l.Owe(300, server("b"), "q0")
+	l.Owe(300, server("b"), "q0", false)
 	if c := due(t, l, 300, 1)[0]; c.Key != key("b", "q0") || c.Try != 0 {
 		t.Errorf("%+v", c)
 	}
@@ -87,7 +87,7 @@
 		t.Error("the call is to go on a connection that was there before")
 	}
 	due(t, l, 500, 0)
-	l.Done(500, again.Key, true)
+	l.Done(500, again, true)
 	due(t, l, 500, atOnce)
 }
 
@@ -95,16 +95,16 @@
 // is told as long as it takes calls.
 func TestRestartedAndGoneEnginesAreForgotten(t *testing.T) {
 	l := ledger(10)
-	l.Owe(100, server("a"), "old")
-	l.Owe(300, server("a"), "new")
+	l.Owe(100, server("a"), "old", false)
+	l.Owe(300, server("a"), "new", false)
 	l.Started(400, "a", 200)
 	if s := ends(l); len(s) != 1 || s[0] != "a/old restarted" {
 		t.Errorf("%v", s)
 	}
-	l.Owe(400, server("b"), "q")
+	l.Owe(400, server("b"), "q", false)
 	l.Missing(map[ashwood.ServerID]bool{"a": true})
 	for _, c := range due(t, l, 400, 2) {
-		l.Done(700, c.Key, false)
+		l.Done(700, c, false)
 	}
 	if s := ends(l); len(s) != 1 || s[0] != "b/q restarted" || l.Len() != 1 {
 		t.Errorf("%v, %d left", s, l.Len())
@@ -115,33 +115,68 @@
 // request was sent there again is not.
 func TestHeldAnewAndWithdrawn(t *testing.T) {
 	l := ledger(10)
-	l.Owe(0, server("a"), "q")
+	l.Owe(0, server("a"), "q", false)
 	c := due(t, l, 0, 1)[0]
-	l.Owe(5, server("a"), "q")
-	l.Done(10, c.Key, true)
+	l.Owe(5, server("a"), "q", false)
+	l.Done(10, c, true)
 	c = due(t, l, 10, 1)[0]
 	if !l.Withdraw(11, c.Key) || l.Withdraw(11, c.Key) {
 		t.Error("withdrawn not once")
 	}
-	l.Done(12, c.Key, false)
+	l.Done(12, c, false)
 	due(t, l, 1000, 0)
 	if l.Len() != 0 || len(l.engines) != 0 {
 		t.Errorf("%d owed, %d engines kept", l.Len(), len(l.engines))
 	}
 }
 
+// A doubtful release is made three times and ends with the first; the request sent
+// somewhere, it is made no more. A call of before does not stand for a later release.
+func TestDoubtfulAndOvertaken(t *testing.T) {
+	l := ledger(10)
+	l.Owe(0, server("a"), "q", true)
+	made := []float64{}
+	for now := 0.0; now < 2000; now += 10 {
+		calls, _ := l.Due(now)
+		for _, c := range calls {
+			made = append(made, now)
+			l.Done(now, c, true)
+		}
+	}
+	if s := ends(l); fmt.Sprint(made) != "[0 150 450]" || fmt.Sprint(s) != "[a/q made]" || len(l.engines) != 0 {
+		t.Errorf("made at %v: %v", made, s)
+	}
+	l.Owe(2000, server("a"), "q", true)
+	l.Done(2000, due(t, l, 2000, 1)[0], true)
+	l.Resumed(2010, key("a", "q"))
+	due(t, l, 3000, 0)
+	l.Owe(3000, server("a"), "q", false)
+	old := due(t, l, 3000, 1)[0]
+	l.Withdraw(3010, old.Key)
+	l.Owe(3020, server("a"), "q", false)
+	late := due(t, l, 3020, 1)[0]
+	l.Done(3030, old, true)
+	if l.Len() != 1 {
+		t.Error("made by a call of before")
+	}
+	l.Done(3040, late, true)
+	if l.Len() != 0 || len(l.engines) != 0 {
+		t.Errorf("%d owed, %d engines kept", l.Len(), len(l.engines))
+	}
+}
+
 // At its bounds the ledger gives up the oldest, and what no engine has taken for
 // too long, and says so.
 func TestBounds(t *testing.T) {
 	l := ledger(1024)
 	for i := range 3000 {
-		l.Owe(float64(i), server(fmt.Sprint("s", i%1024)), ashwood.RequestID(fmt.Sprint("q", i)))
+		l.Owe(float64(i), server(fmt.Sprint("s", i%1024)), ashwood.RequestID(fmt.Sprint("q", i)), false)
 	}
 	if s := ends(l); l.Len() != 1024 || len(l.engines) != 1024 || len(s) != 3000-1024 || s[0] != "s0/q0 crowded" {
 		t.Errorf("%d owed at %d engines, %d ended", l.Len(), len(l.engines), len(s))
 	}
 	for _, c := range due(t, l, 3000, 1024) {
-		l.Done(70000, c.Key, false)
+		l.Done(70000, c, false)
 	}
 	if s := ends(l); l.Len() != 0 || len(l.engines) != 0 || len(s) != 1024 || s[0][len(s[0])-7:] != "too old" {
 		t.Errorf("%d owed, %d engines, %d ended", l.Len(), len(l.engines), len(s))
