Let go of what is held at its time by a timer, also in the middle of a connect

Change: a timer runs from each outcome that an engine had a part in until the next attempt is written; what is held is let go of when it fires, and a send that follows waits for it. A call withdrawn because its request is there again no longer counts as a failure of its engine, which made the next releases there wait and ask other engines. Tests: TestStateIsLetGoInMidConnect fails without it (700 ms in place of 500), TestHeldAnewAndWithdrawn too.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -243,9 +243,8 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	h := holds{owner: g.owner, id: req.ID, engines: map[ashwood.ServerID]ashwood.Server{}}
+	h := g.owner.holds(req.ID)
 	var last error
-	since := g.clock.Now() // of the last outcome that an engine had a part in
 	for {
 		final := step.Kind != ashwood.StepSend && step.Kind != ashwood.StepRelease
 		if step.Release {
@@ -253,15 +252,8 @@
 		}
 		switch step.Kind {
 		case ashwood.StepSend:
-			// While connections fail to come up, the time in which what is held must be
-			// taken keeps running. A writer without a state says so, and it is read anew.
-			if g.holdTime > 0 && g.clock.Now()-since >= g.holdTime {
-				h.release(false)
-			}
-			ans, next := g.attempt(ctx, req, step, &h)
-			if ans.Status != ashwood.NoConnection && ans.Status != ashwood.NotSent {
-				since = g.clock.Now()
-			}
+			h.settle()
+			ans, next := g.attempt(ctx, req, step, h)
 			if answered(ans.Status) {
 				g.owner.heard(step.Engine)
 			} else if ans.Status != ashwood.NotSent && ans.Status != ashwood.CalledOff {
@@ -296,7 +288,7 @@
 		Request: req, Engine: step.Engine, Reads: step.Reads, Once: step.Once, Remaining: step.Timeout,
 		Ready: func() bool { return actx.Err() == nil && g.router.Accepts(step.Engine.ID) },
 		Sent: func() {
-			h.add(step.Engine)
+			h.sent(step.Engine)
 			if step.Place.ID != "" {
 				g.spawn(func() { g.reserve(actx, step, h) })
 			}
@@ -322,6 +314,9 @@
 		}
 	}
 	cancel(nil)
+	if ans.Status != ashwood.NoConnection && ans.Status != ashwood.NotSent {
+		h.idle()
+	}
 	if ans.Status == ashwood.ConnectionLost || ans.Status == ashwood.CalledOff || ans.Status == ashwood.NoAnswer {
 		h.doubt()
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -58,15 +58,15 @@
 	if !a.Ready() {
 		return Answer{Result: ashwood.Result{Status: ashwood.NotSent}}
 	}
-	if !p.unsent {
-		a.Sent()
-	}
 	p.mu.Lock()
 	list := p.answers[a.Engine.ID]
 	if len(list) > 0 {
 		p.answers[a.Engine.ID] = list[1:]
 	}
 	p.mu.Unlock()
+	if !p.unsent && (len(list) == 0 || list[0].Status != ashwood.NoConnection) {
+		a.Sent()
+	}
 	if len(list) > 0 {
 		if s, ok := list[0].Stream.(*stalls); ok {
 			s.ctx = ctx
--- a/gateway/holds.go
+++ b/gateway/holds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math"
 	"math/rand"
@@ -39,11 +40,11 @@
 
 	mu     sync.Mutex
 	ledger *release.Ledger
-	made   map[release.Key][]func()            // to be called when a release is owed no more
-	calls  map[release.Key]context.CancelFunc  // those out
-	recent []ashwood.Server                    // that have answered, and nothing failed since, the latest first
-	listed map[ashwood.ServerID]ashwood.Server // that may be sent to, as last told
-	zone   string                              // of this gateway
+	made   map[release.Key][]func()                // to be called when a release is owed no more
+	calls  map[release.Key]context.CancelCauseFunc // those out
+	recent []ashwood.Server                        // that have answered, and nothing failed since, the latest first
+	listed map[ashwood.ServerID]ashwood.Server     // that may be sent to, as last told
+	zone   string                                  // of this gateway
 	rand   *rand.Rand
 	stop   func() bool   // the timer of the next call
 	idle   chan struct{} // closed when nothing is owed and the gateway ends
@@ -52,7 +53,7 @@
 func newOwner(g *Gateway, set ashwood.Settings, seed int64) *owner {
 	random := rand.New(rand.NewSource(seed))
 	return &owner{
-		g: g, zone: set.Zone, rand: random, listed: map[ashwood.ServerID]ashwood.Server{}, made: map[release.Key][]func(){}, calls: map[release.Key]context.CancelFunc{}, stop: func() bool { return true },
+		g: g, zone: set.Zone, rand: random, listed: map[ashwood.ServerID]ashwood.Server{}, made: map[release.Key][]func(){}, calls: map[release.Key]context.CancelCauseFunc{}, stop: func() bool { return true },
 		ledger: release.New(release.Config{
 			First: releaseFirst, Last: max(releaseLast, releaseEach*float64(set.Nodes)), MaxAge: releaseAge, Most: releaseMost,
 			Again: []float64{againFirst, againNext}, Rand: random,
@@ -85,11 +86,14 @@
 		return
 	}
 	if cancel := o.calls[k]; cancel != nil {
-		cancel()
+		cancel(errWithdrawn)
 	}
 	o.act()
 }
 
+// errWithdrawn ends a call whose request has been sent to the engine again.
+var errWithdrawn = errors.New("gateway: the request is there again")
+
 // update follows the list of engines.
 func (o *owner) update(form ashwood.ListForm, list []ashwood.Server) {
 	o.mu.Lock()
@@ -126,7 +130,7 @@
 		delete(o.made, e.Key)
 	}
 	for _, c := range calls {
-		ctx, cancel := context.WithCancel(context.Background())
+		ctx, cancel := context.WithCancelCause(context.Background())
 		o.calls[c.Key] = cancel
 		o.g.spawn(func() { o.call(ctx, cancel, c) })
 	}
@@ -162,24 +166,28 @@
 	}
 }
 
-// call makes one call, bounded in time.
-func (o *owner) call(ctx context.Context, cancel context.CancelFunc, c release.Call) {
+// call makes one call, bounded in time. One that is ended here tells nothing of its engine.
+func (o *owner) call(ctx context.Context, cancel context.CancelCauseFunc, c release.Call) {
 	err := o.try(ctx, cancel, c.Engine, c.Request, c.Try, releaseTry)
 	o.mu.Lock()
 	delete(o.calls, c.Key)
-	o.ledger.Done(o.g.clock.Now(), c, err == nil)
+	if err != nil && context.Cause(ctx) == errWithdrawn {
+		o.ledger.Void(c)
+	} else {
+		o.ledger.Done(o.g.clock.Now(), c, err == nil)
+	}
 	o.act()
 }
 
 // try makes one call in so many ms at most.
-func (o *owner) try(ctx context.Context, cancel context.CancelFunc, v ashwood.Server, id ashwood.RequestID, n int, ms float64) error {
-	defer cancel()
-	defer o.g.clock.AfterFunc(ms, cancel)()
+func (o *owner) try(ctx context.Context, cancel context.CancelCauseFunc, v ashwood.Server, id ashwood.RequestID, n int, ms float64) error {
+	defer cancel(nil)
+	defer o.g.clock.AfterFunc(ms, func() { cancel(nil) })()
 	begun := o.g.clock.Now()
 	err := o.g.transport.Release(ctx, v, id, n > 0)
 	if err == nil {
 		o.heard(v)
-	} else {
+	} else if context.Cause(ctx) != errWithdrawn {
 		o.unheard(v.ID)
 	}
 	o.g.log.Debug("release", "id", id, "engine", v.ID, "try", n, "ms", o.g.clock.Now()-begun, "err", err)
@@ -272,7 +280,7 @@
 	o.mu.Lock()
 	o.ledger.Abandon(o.g.clock.Now())
 	for _, cancel := range o.calls {
-		cancel()
+		cancel(nil)
 	}
 	o.act()
 }
@@ -283,6 +291,7 @@
 	owner *owner
 	id    ashwood.RequestID
 
+	letting  sync.Mutex // held while overdue lets go
 	mu       sync.Mutex
 	engines  map[ashwood.ServerID]ashwood.Server
 	late     []ashwood.Server // places answered after the read
@@ -290,6 +299,55 @@
 	doubtful bool             // an engine may not have seen an attempt or a call to end
 	begun    bool             // the answer has
 	over     bool             // the request has its final answer
+	stop     func() bool      // the timer of what is held while no attempt is out
+	due      float64          // when that is to be let go of; +Inf = not at all
+}
+
+func (o *owner) holds(id ashwood.RequestID) *holds {
+	return &holds{owner: o, id: id, engines: map[ashwood.ServerID]ashwood.Server{}, stop: func() bool { return true }, due: math.Inf(1)}
+}
+
+// idle tells that no attempt is out from now on. What is held is let go of when
+// its time is up, whatever the request does meanwhile: the time keeps running
+// while connections fail to come up. A writer that then finds no state says so, and it is read anew.
+func (h *holds) idle() {
+	limit := h.owner.g.holdTime
+	if limit <= 0 {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stop()
+	h.due = h.owner.g.clock.Now() + limit
+	h.stop = h.owner.g.clock.AfterFunc(limit, func() {
+		h.owner.g.spawn(h.overdue)
+	})
+}
+
+// sent notes an engine that an attempt is out at.
+func (h *holds) sent(v ashwood.Server) {
+	h.mu.Lock()
+	h.stop()
+	h.due = math.Inf(1)
+	h.mu.Unlock()
+	h.add(v)
+}
+
+// settle comes before a send: what is overdue is let go of first.
+func (h *holds) settle() {
+	h.mu.Lock()
+	over := h.owner.g.clock.Now() >= h.due
+	h.mu.Unlock()
+	if over {
+		h.overdue()
+	}
+}
+
+// overdue lets go of what has been held for as long as it may, once.
+func (h *holds) overdue() {
+	h.letting.Lock()
+	defer h.letting.Unlock()
+	h.release(false)
 }
 
 // add notes an engine. After the final answer it is to be told at once.
@@ -337,6 +395,7 @@
 	h.mu.Lock()
 	late, doubtful := h.late, h.doubtful
 	h.begun, h.late, h.told = true, nil, nil
+	h.stop()
 	h.mu.Unlock()
 	h.owner.tell(h.id, late, doubtful)
 }
@@ -348,6 +407,7 @@
 	defer h.mu.Unlock()
 	h.over = h.over || final
 	if final {
+		h.stop()
 		for _, v := range h.told {
 			h.engines[v.ID] = v
 		}
@@ -427,7 +487,7 @@
 		var all sync.WaitGroup
 		for _, v := range ask {
 			all.Go(func() {
-				ctx, cancel := context.WithCancel(context.Background())
+				ctx, cancel := context.WithCancelCause(context.Background())
 				if o.try(ctx, cancel, v, id, n, releaseWait) == nil {
 					got.Store(true)
 				}
--- a/gateway/holds_test.go
+++ b/gateway/holds_test.go
@@ -25,7 +25,7 @@
 }
 
 func held(g *Gateway, id ashwood.RequestID, engines ...ashwood.ServerID) *holds {
-	h := &holds{owner: g.owner, id: id, engines: map[ashwood.ServerID]ashwood.Server{}}
+	h := g.owner.holds(id)
 	for _, id := range engines {
 		h.add(ashwood.Server{ID: id})
 	}
@@ -153,6 +153,24 @@
 	})
 }
 
+// The time of what is held runs on in the middle of a connect that does not come up.
+func TestStateIsLetGoInMidConnect(t *testing.T) {
+	p := &peer{place: PlaceUnasked, answers: map[ashwood.ServerID][]Answer{
+		"r1": {answer(ashwood.Parsed)}, "w1": {answer(ashwood.NoConnection)}}}
+	in(t, p, func(t *testing.T, g *Gateway) {
+		p.before = func(v ashwood.Server) {
+			if v.ID == "w1" {
+				time.Sleep(700 * time.Millisecond)
+			}
+		}
+		go g.Serve(t.Context(), request("chat"))
+		if d := p.wantNext(t, "r1"); d != 500*time.Millisecond {
+			t.Errorf("let go of after %v", d)
+		}
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // A place whose answer comes after the request's end is let go of then, and no
 // other engine's release has waited for it.
 func TestPlaceAnsweredAfterTheEnd(t *testing.T) {
--- a/internal/release/ledger.go
+++ b/internal/release/ledger.go
@@ -213,14 +213,40 @@
 	return calls, next
 }
 
+// Void tells that a call was ended by its caller: it says nothing of its engine.
+func (l *Ledger) Void(c Call) {
+	if l.back(c) == nil {
+		return
+	}
+	if d := l.find(c.Key); d != nil && d.out == c.number {
+		d.out = 0
+	}
+	l.forget(c.Key.Engine)
+}
+
+// back takes a call out of those at its engine.
+func (l *Ledger) back(c Call) *engine {
+	e := l.engines[c.Key.Engine]
+	if e != nil {
+		e.out = max(e.out-1, 0)
+	}
+	return e
+}
+
+// forget drops an engine that is owed nothing.
+func (l *Ledger) forget(id ashwood.ServerID) {
+	if e := l.engines[id]; e != nil && len(e.debts) == 0 && e.out == 0 {
+		delete(l.engines, id)
+	}
+}
+
 // Done tells whether a call has got through to an engine that runs. A call of
 // a release that was withdrawn since counts for its engine alone.
 func (l *Ledger) Done(now float64, c Call, made bool) {
-	e := l.engines[c.Key.Engine]
+	e := l.back(c)
 	if e == nil {
 		return
 	}
-	e.out = max(e.out-1, 0)
 	if made {
 		e.fails, e.next = 0, 0
 		e.pace.Reset()
@@ -230,9 +256,7 @@
 	}
 	d := l.find(c.Key)
 	if d == nil || d.out != c.number {
-		if len(e.debts) == 0 && e.out == 0 {
-			delete(l.engines, c.Key.Engine)
-		}
+		l.forget(c.Key.Engine)
 		return
 	}
 	again := d.again
@@ -284,9 +308,8 @@
 func (l *Ledger) end(d *debt, now float64, why End) {
 	e := l.engines[d.key.Engine]
 	l.order.Remove(d.place)
-	if delete(e.debts, d.key.Request); len(e.debts) == 0 && e.out == 0 {
-		delete(l.engines, d.key.Engine)
-	}
+	delete(e.debts, d.key.Request)
+	l.forget(d.key.Engine)
 	if d.made == 0 {
 		l.ended = append(l.ended, Ended{d.key, why, now - d.since})
 	}
--- a/internal/release/ledger_test.go
+++ b/internal/release/ledger_test.go
@@ -123,7 +123,12 @@
 	if !l.Withdraw(11, c.Key) || l.Withdraw(11, c.Key) {
 		t.Error("withdrawn not once")
 	}
-	l.Done(12, c, false)
+	l.Owe(11, server("a"), "another", false)
+	l.Void(c)
+	if l.Failing("a") {
+		t.Error("a call that was ended here counts against its engine")
+	}
+	l.Done(12, due(t, l, 12, 1)[0], true)
 	due(t, l, 1000, 0)
 	if l.Len() != 0 || len(l.engines) != 0 {
 		t.Errorf("%d owed, %d engines kept", l.Len(), len(l.engines))
