--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -694,21 +695,46 @@
 	}
 }
 
-// A release that was written to a dead connection is made again.
-func TestReleaseIsRepeatedUntilAnswered(t *testing.T) {
-	e, calls := NewEngines(settings(), clock.System(), 9), 0
-	v := engine(t, "w1", "writer", func(seen) string {
-		calls++
-		if calls == 1 {
-			return "\x00"
+// A release on a kept connection that has gone silent, is closed, or breaks off in mid-answer
+// has not been made; the next goes on none that was there then.
+func TestReleaseIsMadeAgainOnANewConnection(t *testing.T) {
+	for name, fault := range map[string]string{"silent": "", "closed": "\x00", "cut short": "HTTP/1.1 20\x00", "no head": "\r\n\x00"} {
+		e, got, answers := NewEngines(settings(), clock.System(), 9), make(chan net.Conn), make(chan string)
+		v := engine(t, "w1", "writer", func(s seen) string {
+			got <- s.conn
+			return <-answers
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		end := make(chan error, 2)
+		release := func(fresh bool) net.Conn {
+			go func() { end <- e.Release(ctx, v, "q", fresh) }()
+			return <-got
 		}
-		return freed
-	})
-	if err := e.Release(context.Background(), v, "q", false); err == nil {
-		t.Error("a release without an answer counts")
-	}
-	if err := e.Release(context.Background(), v, "q", false); err != nil {
-		t.Error(err)
+		kept := []net.Conn{release(false), release(false)} // two at once
+		for range kept {
+			answers <- freed
+			if err := <-end; err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+		if c := release(false); !slices.Contains(kept, c) {
+			t.Errorf("%s: not on a kept connection", name)
+		}
+		if answers <- fault; fault == "" {
+			cancel() // its owner has waited for long enough
+		}
+		if err := <-end; err == nil {
+			t.Errorf("%s: a release without an answer counts", name)
+		}
+		ctx = context.Background()
+		if c := release(true); slices.Contains(kept, c) {
+			t.Errorf("%s: made again on a connection that was there", name)
+		}
+		answers <- freed
+		if err := <-end; err != nil {
+			t.Errorf("%s: made again: %v", name, err)
+		}
+		cancel()
 	}
 }
 
