Wait for connections as long as they take of late, and go on near after a silent far one

Of 26,520 connects that came up, 99.9% took under 15 ms, the slowest 31. Fault: pool.go waited the setting's 250 ms whatever was known; scheduler.go's pool() knows single engines, and the path of a zone is left only once all its engines have failed, which one of 300 gateways never sees. Change: above eight gateways a connect is waited for four times the slowest of late (trend.Patience), a fifth of the setting at the least; a request that met a silent connect in another zone goes on in its own. Tests: TestRequestLeavesASilentZone (1 of 20 goes home without it), TestConnectsAreWaitedForAsLongAsTheyTake, TestPatience.

--- a/internal/platform/engines.go
+++ b/internal/platform/engines.go
@@ -43,6 +43,7 @@
 	sweepEvery     = 1000.0
 	defaultConnect = 250.0
 	defaultIdle    = 15000.0
+	manyNodes      = 8 // gateways, from which on a silent connect is not waited for in full
 )
 
 // Engines is the transport to the platform's engines.
@@ -65,6 +66,7 @@
 		idle = defaultIdle
 	}
 	e := &Engines{pool: newPool(c, connect, idle/2, limit), clock: c}
+	e.pool.learn = set.Nodes > manyNodes
 	e.sweep()
 	return e
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -738,6 +738,27 @@
 	}
 }
 
+// Gateways of a large fleet wait for connections as long as they take of late; those of a
+// small one for the time in the settings, as they did.
+func TestConnectsAreWaitedForAsLongAsTheyTake(t *testing.T) {
+	for nodes, want := range map[int]float64{300: 400, 4: 2000} {
+		set := settings()
+		set.Nodes = nodes
+		e := NewEngines(set, clock.NewManual(1), 99) // on which each takes no time
+		addr := listen(t).Addr().String()
+		for range 20 {
+			c, err := e.pool.get(context.Background(), addr, newConn)
+			if err != nil {
+				t.Fatal(err)
+			}
+			e.pool.discard(c)
+		}
+		if w := e.pool.wait.Wait(); w != want {
+			t.Errorf("%d gateways wait for %v ms, want %v", nodes, w, want)
+		}
+	}
+}
+
 // Where machines forget connections, most of the kept ones are dead: once one has
 // shown, none is kept for a while.
 func TestNoConnectionIsKeptAfterOneHasDied(t *testing.T) {
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ashwood.example/ashwood/internal/clock"
+	"ashwood.example/ashwood/internal/trend"
 )
 
 // errTooMany says that the gateway's share of sockets is used up.
@@ -29,12 +30,13 @@
 // sent again behind its back.
 type pool struct {
 	clock   clock.Clock
-	connect float64 // ms to wait for a connection
 	maxIdle float64 // ms after which an idle connection is closed, well before the engine does
 	max     int     // connections open at once
 	log     *slog.Logger
 
 	mu    sync.Mutex
+	wait  trend.Patience     // for a connection
+	learn bool               // whether that is shortened by how long they take
 	idle  map[string][]*conn // by address, the latest used last
 	open  int
 	doubt float64 // until when no connection is kept
@@ -61,7 +63,7 @@
 const spareShare = 1.0 / 16
 
 func newPool(c clock.Clock, connect, maxIdle float64, limit int) *pool {
-	return &pool{clock: c, connect: connect, maxIdle: maxIdle, max: limit, idle: map[string][]*conn{}, log: slog.New(slog.DiscardHandler)}
+	return &pool{clock: c, wait: trend.Patience{Most: connect}, maxIdle: maxIdle, max: limit, idle: map[string][]*conn{}, log: slog.New(slog.DiscardHandler)}
 }
 
 // get gives an idle connection that the engine has not closed, or a new one.
@@ -102,16 +104,22 @@
 }
 
 func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
-	d := net.Dialer{Timeout: clock.Duration(p.connect), KeepAlive: -1}
+	p.mu.Lock()
+	d := net.Dialer{Timeout: clock.Duration(p.wait.Wait()), KeepAlive: -1}
+	p.mu.Unlock()
 	begun := p.clock.Now()
 	nc, err := d.DialContext(ctx, "tcp", addr)
-	p.log.Debug("connect", "address", addr, "ms", p.clock.Now()-begun, "err", err)
+	took := p.clock.Now() - begun
+	p.log.Debug("connect", "address", addr, "ms", took, "err", err)
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if err != nil {
-		p.mu.Lock()
-		defer p.mu.Unlock()
 		p.open--
 		return nil, err
 	}
+	if p.learn {
+		p.wait.Came(took)
+	}
 	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, 4096), addr: addr}, nil
 }
 
--- a/scheduler.go
+++ b/scheduler.go
@@ -528,6 +528,9 @@
 		if r.held && a.srv == r.ahead { // the state may have moved there: once more
 			r.tried[a.srv], r.held = false, false
 		}
+		if s.set.Nodes > manyNodes && e.Latency >= retryPause && a.srv.Zone != s.set.Zone {
+			r.near = true // a whole zone may be silent: the next try is not to wait for it too
+		}
 		s.shun(a.srv)
 		s.judge(a.srv, r, false)
 	case ServerError, ConnectionLost:
@@ -750,7 +753,7 @@
 		case !match(v.role) || !s.usable(r, v):
 		case s.trusted(v) && s.set.Nodes > manyNodes && s.cold(v) && v.role != RoleRead:
 			turn = append(turn, v)
-		case s.trusted(v) && s.now >= v.refuses[r.kind()]:
+		case s.trusted(v) && s.now >= v.refuses[r.kind()] && !(r.near && v.Zone != s.set.Zone):
 			good = append(good, v)
 		case !s.trusted(v) && (v.due(s.now) || !v.ejected) && (z.due(s.now) || !z.ejected) && len(r.attempts) <= 1:
 			return []*server{v}
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -751,6 +751,40 @@
 	}
 }
 
+// Of many nodes, each meets few engines of a zone that is cut off: a request that met a silent
+// connect there goes on in its own zone, and one that met a refused connect goes where it would.
+func TestRequestLeavesASilentZone(t *testing.T) {
+	for _, tt := range []struct {
+		nodes   int
+		latency time.Duration
+		home    bool
+	}{{300, 100 * ms, true}, {300, ms, false}, {4, 100 * ms, false}} {
+		home := 0
+		for key := range uint64(20) {
+			set, list := settings(), []Server{reader("own")}
+			set.Nodes, set.Ahead = tt.nodes, false
+			for i := range 20 {
+				far := reader(fmt.Sprint("far", i))
+				far.Zone = "b"
+				list = append(list, far)
+			}
+			n := newNode(t, set, list...)
+			n.ask("q", key+1, key+1)
+			a, _ := pick[Attempt](n)
+			if a.Server == "own" {
+				continue
+			}
+			n.do(Outcome{ID: "q", Server: a.Server, Status: NoConnection, Latency: tt.latency})
+			if a, _ := pick[Attempt](n); a.Server == "own" {
+				home++
+			}
+		}
+		if tt.home != (home >= 15) {
+			t.Errorf("%d nodes, after %v: %d of 20 went on in their own zone", tt.nodes, tt.latency, home)
+		}
+	}
+}
+
 // An overdue attempt costs a silent server trust and, later, the attempt; a
 // server that finishes other work keeps both.
 func TestOverdueAttempts(t *testing.T) {
