Count reads at readers by their reports in large fleets, the unheard as the mean

Fault: counts() in scheduler.go: with no own read there, a reader without news younger than 0.5 s counted as idle, so that it won over a home that was known to have one or two; with one read of its own in flight, a gateway's count times 300 put the cap and the tie at some 6 to 12 reads. Change: above eight gateways readers count by their last report, drawn to the mean of those heard as it ages, over the time that writers' room has; chance is one read. Test: TestUnheardReaderIsNotTakenForIdle, seen to fail without it.

--- a/internal/trend/trend.go
+++ b/internal/trend/trend.go
@@ -57,3 +57,12 @@
 	t.last = now
 	return t.sum / (8 * window).Seconds()
 }
+
+// Fleet scales an own figure to so many nodes: the others are taken to be like the
+// mean, and like this one only as far as that rests on more than a request or so a
+// server, which counts each. With many nodes, one request in flight is chance.
+func Fleet(nodes int, own, mean, each float64) float64 {
+	crowd := max(1-2/float64(nodes), 0)
+	sure := mean / max(mean+each*crowd, math.SmallestNonzeroFloat64)
+	return own + float64(nodes-1)*(mean+sure*(own-mean))
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -264,7 +264,7 @@
 	}
 	// What is being read will want room too: here what waits, at the others what comes in while a read takes.
 	each := s.coming.Add(s.now, time.Second, 0) * s.pace[reading].Y / float64(time.Second)
-	room -= s.fleet(queued, each, s.prompt)
+	room -= trend.Fleet(s.set.Nodes, queued, each, s.prompt)
 	limit := (float64(s.minAim) - s.haste[r.Tenant]) * (1 + r.class.Worth/s.topWorth) / 2
 	if q := s.quota[r.Tenant]; q > 0 { // the further over its share, the smaller its part of the aim
 		limit *= min(1, max(s.set.OverShareWorth, q/max(s.asked[r.Tenant].Add(s.now, time.Second, 0), q/2)))
@@ -807,22 +807,24 @@
 	return near
 }
 
-// fleet scales an own figure to all nodes: the others are taken to be like the
-// mean, and like this one only as far as that rests on more than a request or
-// so a server. With many nodes, one request in flight is chance.
-func (s *Scheduler) fleet(own, mean, each float64) float64 {
-	sure := mean / max(mean+each*s.crowd, math.SmallestNonzeroFloat64)
-	return own + float64(s.set.Nodes-1)*(mean+sure*(own-mean))
-}
-
 // counts estimates the unfinished reads at readers on the fleet's scale, or
-// what is reported if that is more and new, and how far chance may put it off.
+// what is reported if that is more and new, and how far chance may put it off. Of
+// many nodes, own counts are chance: reports tell, with age the less, and the mean.
 func (s *Scheduler) counts(role Role) (count func(*server) float64, chance float64) {
 	mean, _ := s.mean(role, func(v *server) (float64, bool) { return float64(v.reads), true })
+	told, heard := s.mean(role, func(v *server) (float64, bool) { return v.running(), len(v.report) > 0 })
+	if s.set.Nodes > manyNodes && heard > 0 {
+		return func(v *server) float64 {
+			if len(v.report) == 0 {
+				return told
+			}
+			return told + (v.running()-told)*math.Exp(-float64(s.now-v.reportAt)/float64(4*s.minAim))
+		}, 1
+	}
 	return func(v *server) float64 {
-		n := s.fleet(float64(v.reads), mean, 1)
+		n := trend.Fleet(s.set.Nodes, float64(v.reads), mean, 1)
 		if len(v.report) > 0 && s.now-v.reportAt < probeEvery {
-			n = max(n*(1-s.crowd), v.report[ReportInFlight], v.report[ReportQueue])
+			n = max(n*(1-s.crowd), v.running())
 		}
 		return n
 	}, s.crowd * float64(s.set.Nodes-1) * mean / math.Sqrt(1+mean)
@@ -950,7 +952,7 @@
 		}
 	}
 	return func(v *server) float64 {
-		room := v.memory - s.fleet(v.held, held, s.prompt)
+		room := v.memory - trend.Fleet(s.set.Nodes, v.held, held, s.prompt)
 		if heard > 0 {
 			x := (cell[v.Cell] + used) / (told[v.Cell] + 1)
 			if own, ok := wanted(v); ok {
--- a/size_test.go
+++ b/size_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
+
+	"ashwood.example/ashwood/internal/trend"
 )
 
 // This file holds what must be so with many nodes, each seeing little.
@@ -40,6 +43,40 @@
 	}
 }
 
+// Many nodes know of most readers nothing new: one that is unheard is like the mean, not
+// idle, or all would prefer it to a home that they have heard from, and find it swamped.
+func TestUnheardReaderIsNotTakenForIdle(t *testing.T) {
+	for _, nodes := range []int{50, 300} {
+		set := nodesOf(nodes)
+		set.Reports = ReportInline
+		n := newNode(t, set, fleetOf(30, 0)...)
+		n.ask("a", 1, 7)
+		first, _ := pick[Attempt](n)
+		for _, v := range n.s.order {
+			switch v.ID {
+			case first.Server: // it holds the prefix and is at work
+				v.report, v.reportAt = Report{ReportInFlight: 2}, n.now
+			case "r1", "r2", "r3":
+				v.report, v.reportAt = Report{ReportInFlight: 3}, n.now
+			}
+		}
+		n.s.servers[first.Server].reads = 0 // what is in flight here tells nothing
+		for key := uint64(2); ; key++ {     // a session that would come here too
+			other := newNode(t, set, fleetOf(30, 0)...)
+			other.ask("b", key, 7)
+			if a, _ := pick[Attempt](other); a.Server == first.Server {
+				n.ask("b", key, 7)
+				n.sentTo(string(first.Server))
+				break
+			}
+		}
+		n.s.servers[first.Server].report = Report{ReportInFlight: 30}
+		if n.ask("c", 1, 7); slices.Contains(n.out, Action(Attempt{ID: "c", Server: first.Server, Timeout: 5 * time.Second})) {
+			t.Errorf("%d nodes: a swamped home is taken", nodes)
+		}
+	}
+}
+
 func TestFleetEstimateAllowsForChance(t *testing.T) {
 	for _, tt := range []struct {
 		nodes     int
@@ -51,8 +88,7 @@
 		{50, 20, 2, 300, 1000}, // more than chance gives
 		{50, 0, 0, 0, 0},
 	} {
-		n := newNode(t, nodesOf(tt.nodes))
-		if got := n.s.fleet(tt.own, tt.mean, 1); got < tt.low || got > tt.high {
+		if got := trend.Fleet(tt.nodes, tt.own, tt.mean, 1); got < tt.low || got > tt.high {
 			t.Errorf("%d nodes, own %v of mean %v: %v", tt.nodes, tt.own, tt.mean, got)
 		}
 	}
--- a/state.go
+++ b/state.go
@@ -168,6 +168,9 @@
 	return &server{ratio: 1, runs: prefix.Held{}, refuses: map[[2]string]time.Duration{}, hash: hashOf(id)}
 }
 
+// running is the unfinished work that a server last reported, 0 without a report.
+func (v *server) running() float64 { return max(v.report[ReportInFlight], v.report[ReportQueue]) }
+
 // score is the rank of a server for a key, alike at all nodes (rendezvous hashing).
 func (v *server) score(key uint64) uint64 {
 	n := (v.hash ^ key*0xff51afd7ed558ccd) * 0x9e3779b97f4a7c15
