Wait for every ninth connect that fails in full, so that slower networks are found out

Read in trend.Patience, not seen: learned from connects that came alone, the wait could fall under what a far zone takes (a fifth of the setting, 50 ms here), and since a connect that fails taught nothing, never rise again. Change: of connects that do not come in time, every ninth waits for the setting's whole time; where it comes, its time is learned. Test: TestPatienceFindsOutThatAllIsSlower fails without it (none of 40 come). docs/design/release.md tells of the timer and of releases in doubt.

--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -115,6 +115,9 @@
 	defer p.mu.Unlock()
 	if err != nil {
 		p.open--
+		if ne, ok := err.(net.Error); ok && ne.Timeout() && ctx.Err() == nil {
+			p.wait.Missed()
+		}
 		return nil, err
 	}
 	if p.learn {
--- a/internal/trend/patience_test.go
+++ b/internal/trend/patience_test.go
@@ -28,3 +28,29 @@
 		t.Errorf("long after: %v", w)
 	}
 }
+
+// Where all have become slower than what is waited for, one that is waited for in full
+// tells: nothing is given up for good.
+func TestPatienceFindsOutThatAllIsSlower(t *testing.T) {
+	p, came := Patience{Most: 250}, 0
+	for range 100 {
+		p.Came(1)
+	}
+	for range 40 {
+		if p.Wait() < 80 {
+			p.Missed()
+		} else {
+			p.Came(80)
+			came++
+		}
+	}
+	if came != 40-patienceDoubt {
+		t.Errorf("%d of 40 came", came)
+	}
+	for range 2 * (patienceDoubt + 1) {
+		p.Missed()
+	}
+	if p.Wait() < 80 {
+		t.Error("dead ones have made it forget")
+	}
+}
