--- a/cmd/ashwood/size_test.go
+++ b/cmd/ashwood/size_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strconv"
 	"strings"
@@ -87,3 +88,35 @@
 		}
 	}
 }
+
+// The list in the configuration may be of engines that are all gone. The program serves
+// by what discovery tells, and what came before it gets an answer that allows another try.
+func TestKnownEnginesAreAllGone(t *testing.T) {
+	gone := httptest.NewServer(http.NotFoundHandler())
+	addr := strings.TrimPrefix(gone.URL, "http://")
+	gone.Close()
+	var known []string
+	for i := range 60 {
+		known = append(known, instance(fmt.Sprint("gone", i), addr, []string{"prefill", "decode"}[i%2]))
+	}
+	told, taken := make(chan struct{}), make(chan struct{}, 9)
+	list := engines(t, func() {})
+	lists := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("from") == "3" { // asked only with the new list in hand
+			taken <- struct{}{}
+			<-r.Context().Done()
+		}
+		<-told
+		io.WriteString(w, list)
+	})
+	_, listen, _ := start(t, configuration(lists, `{"generation":1,"reset":true,"instances":[`+strings.Join(known, ",")+`]}`), "")
+	if r := order(t, listen); r.StatusCode != 503 && r.StatusCode != 429 || r.Header.Get("Retry-After") == "" {
+		t.Errorf("before the list: %s, %v", r.Status, r.Header)
+	}
+	close(told)
+	<-taken
+	r := order(t, listen)
+	if body, err := io.ReadAll(r.Body); r.StatusCode != 200 || string(body) != answer || err != nil {
+		t.Errorf("with the list: %s, %q, %v", r.Status, body, err)
+	}
+}
--- a/size_test.go
+++ b/size_test.go
@@ -328,6 +328,39 @@
 	}
 }
 
+// Over eighty gateways and sixty engines, a request costs two probes at most, whatever
+// is known, and no gateway asks an engine again within the time for which news is fresh.
+func TestProbesOfManyNodes(t *testing.T) {
+	const nodes, rounds = 80, 200
+	set := settings()
+	set.Nodes, set.Limits.Probes = nodes, true
+	requests, probes := 0, 0
+	for i := range nodes {
+		n := newNode(t, set, fleetOf(30, 30)...)
+		last := map[ServerID]time.Duration{}
+		for k := range rounds {
+			n.now += 73 * ms
+			n.ask(fmt.Sprint(k), uint64(i*rounds+k), uint64(k%7))
+			requests++
+			for _, a := range n.out {
+				p, ok := a.(Probe)
+				if !ok {
+					continue
+				}
+				probes++
+				if at, before := last[p.Server]; before && n.now-at < probeEvery {
+					t.Errorf("%s is asked again after %v", p.Server, n.now-at)
+				}
+				last[p.Server] = n.now
+				n.do(Probed{Server: p.Server, Status: Served, Report: Report{ReportInFlight: 1}})
+			}
+		}
+	}
+	if probes == 0 || probes > probesAtOnce*requests {
+		t.Errorf("%d probes for %d requests", probes, requests)
+	}
+}
+
 // Eighty gateways that have heard of no writer must not all take the one with the
 // largest memory in the reader's cell: the answers there would come too slowly.
 func TestManyNodesSpreadOverWriters(t *testing.T) {
