--- a/gateway/holds_test.go
+++ b/gateway/holds_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"slices"
@@ -251,6 +252,29 @@
 	})
 }
 
+// A read may have ended well as its connection broke: its reader is told. A whole list, as
+// after a reload, takes nothing back of what is owed to an engine that is on it.
+func TestLostReadAndReload(t *testing.T) {
+	p := &peer{place: PlaceUnasked, silent: map[ashwood.ServerID]int{"r1": 1e6}, answers: map[ashwood.ServerID][]Answer{"r1": {answer(ashwood.ConnectionLost)}}}
+	in(t, p, func(t *testing.T, g *Gateway) {
+		ctx, leave := context.WithCancel(t.Context())
+		end := make(chan Reply)
+		go func() {
+			r, _ := g.Serve(ctx, request("order"))
+			end <- r
+		}()
+		<-p.hanging // sent there again
+		leave()
+		if r := <-end; r.Kind != Gone {
+			t.Errorf("kind %v", r.Kind)
+		}
+		g.Update(ashwood.ListWhole, []ashwood.Server{{ID: "r1", Kind: "r", State: ashwood.StateOn}})
+		time.Sleep(10 * time.Millisecond) // of the test's clock: the call is out
+		p.hear("r1")
+		p.wantFreed(t, "r1")
+	})
+}
+
 // At the gateway's end what can't be let go of is given up after releaseStop.
 func TestStopGivesUpWhatNoEngineTakes(t *testing.T) {
 	p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6}}
