Have a timer that fires late let nothing go that is held since

The timer of what is held had fired while the send that waits for it let go by itself; its goroutine ran only after the request had been read anew, and released that state (a writer would have said 410, and it would be read again). Fault: settle and the timer each called release; nothing told the second that all was done. Change: both go through overdue, which looks at the time due under the lock and clears it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -252,7 +252,7 @@
 		}
 		switch step.Kind {
 		case ashwood.StepSend:
-			h.settle()
+			h.overdue()
 			ans, next := g.attempt(ctx, req, step, h)
 			if answered(ans.Status) {
 				g.owner.heard(step.Engine)
--- a/gateway/holds.go
+++ b/gateway/holds.go
@@ -333,21 +333,20 @@
 	h.add(v)
 }
 
-// settle comes before a send: what is overdue is let go of first.
-func (h *holds) settle() {
-	h.mu.Lock()
-	over := h.owner.g.clock.Now() >= h.due
-	h.mu.Unlock()
-	if over {
-		h.overdue()
-	}
-}
-
-// overdue lets go of what has been held for as long as it may, once.
+// overdue lets go of what has been held for as long as it may. It comes before a send
+// too, which waits for one that is under way; a timer that fires late finds nothing due.
 func (h *holds) overdue() {
 	h.letting.Lock()
 	defer h.letting.Unlock()
-	h.release(false)
+	h.mu.Lock()
+	due := h.owner.g.clock.Now() >= h.due
+	if due {
+		h.due = math.Inf(1)
+	}
+	h.mu.Unlock()
+	if due {
+		h.release(false)
+	}
 }
 
 // add notes an engine. After the final answer it is to be told at once.
--- a/gateway/holds_test.go
+++ b/gateway/holds_test.go
@@ -172,6 +172,22 @@
 	})
 }
 
+// A timer that comes late finds that the request is on its way again.
+func TestLateTimerLetsNothingGo(t *testing.T) {
+	p := &peer{}
+	in(t, p, func(t *testing.T, g *Gateway) {
+		h := held(g, "q", "r1")
+		h.idle()
+		time.Sleep(400 * time.Millisecond)
+		h.sent(ashwood.Server{ID: "r2"})
+		h.overdue()
+		time.Sleep(time.Second)
+		if len(p.freed) > 0 {
+			t.Errorf("%s was told", <-p.freed)
+		}
+	})
+}
+
 // A place whose answer comes after the request's end is let go of then, and no
 // other engine's release has waited for it.
 func TestPlaceAnsweredAfterTheEnd(t *testing.T) {
