Have an agent that was silent asked again at once, so that no wait outlives the drain rule

Confirmed: Discovery.Fleet drew its first wait from 40 ms for each gateway (2.4 s for 60, 12 s for 300) whoever was asked. Also seen: a call made in the outage is not answered at its end but stays silent for its full 3 s, so that a short wait alone would be up to 3 s late. Excluded: the list in hand, patches and Accepts (what had been heard was obeyed). Change: pacing.Reopen, pure, says how calls follow. An agent of one's own (lists are pushed) is asked again within 0.2 s by calls that wait 0.2 s and are given up after 0.5, until one is answered. A discovery that is asked keeps the waits by fleet size where it fails calls (at most the time that may go unasked); a silent call there is opened anew within 2 s.

--- a/cmd/ashwood/main.go
+++ b/cmd/ashwood/main.go
@@ -140,7 +140,7 @@
 	sockets := float64(cfg.Limits.Sockets)
 	opts := []router.Option{router.WithClock(c), router.WithLogger(log)}
 	d := router.NewPlatform(cfg.Discovery, opts...)
-	d.Fleet(cfg.Settings.Nodes, cfg.Seed)
+	d.Fleet(cfg.Settings, cfg.Seed)
 	known := cfg.Known.Engines
 	if len(known) > 0 {
 		d.Known(cfg.Known.Generation)
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand"
@@ -17,21 +18,7 @@
 	"ashwood.example/ashwood/internal/wire"
 )
 
-const (
-	// Watches may fall silent and lists stop short, on connections that stay open.
-	// What discovery has to tell counts as told all the same: short waits.
-	watchHold  = 2000.0  // ms that a watch may wait
-	watchSlack = 1000.0  // and how much later its answer is given up
-	watchPause = 100.0   // after a failed call; a watch goes on for 200
-	maxList    = 4 << 20 // bytes of a list
-
-	// One discovery serves all gateways. What eighty ask again every 100 ms keeps it
-	// busy with calls that it fails, so that none is answered any more: calls after a
-	// failure are spread out. The first one is not put off: a gateway that has just
-	// started counts as told of what it would hear if it asked.
-	callEvery = 40.0    // ms between such calls of all gateways
-	pauseMost = 10000.0 // ms between those of one
-)
+const maxList = 4 << 20 // bytes of a list
 
 // Discovery follows the list of engines.
 type Discovery struct {
@@ -40,7 +27,7 @@
 	update func(ashwood.ListForm, []ashwood.Server)
 	from   int64 // the version in hand
 	inHand bool
-	pace   pacing.Backoff
+	pace   *pacing.Reopen
 
 	mu    sync.Mutex
 	addr  string
@@ -50,15 +37,15 @@
 // NewDiscovery makes a follower.
 func NewDiscovery(addr string, c clock.Clock, log *slog.Logger) *Discovery {
 	d := &Discovery{addr: addr, clock: c, log: log, moved: func() {}}
-	d.Fleet(1, 0)
+	d.Fleet(ashwood.Settings{}, 0)
 	return d
 }
 
-// Fleet says how many gateways ask the same discovery, and the seed from which
-// this one's waits are drawn. It is to be called before Run.
-func (d *Discovery) Fleet(nodes int, seed int64) {
-	first := max(watchPause, float64(nodes)*callEvery)
-	d.pace = pacing.Backoff{First: first, Last: min(4*first, max(first, pauseMost)), Rand: rand.New(rand.NewSource(seed))}
+// Fleet says how many gateways there are, whether lists are pushed to an agent of this
+// one's own or asked for at a discovery that serves all, and the seed from which its
+// waits are drawn. It is to be called before Run.
+func (d *Discovery) Fleet(set ashwood.Settings, seed int64) {
+	d.pace = pacing.NewReopen(set.Nodes, set.Subscribe, clock.Millis(set.Rules.AskWithin), rand.New(rand.NewSource(seed)))
 }
 
 // Known says which version of the list is in hand, so that Run watches from there.
@@ -99,10 +86,10 @@
 // gone is asked again; the list in hand stays.
 func (d *Discovery) follow(ctx context.Context, addr string, from int64, inHand bool) {
 	client := &fasthttp.HostClient{
-		Addr: addr, ReadTimeout: clock.Duration(watchHold + watchSlack), WriteTimeout: time.Second,
+		Addr: addr, ReadTimeout: clock.Duration(pacing.WatchHold + pacing.WatchSlack), WriteTimeout: time.Second,
 		MaxIdleConnDuration: time.Minute, MaxResponseBodySize: maxList, MaxIdemponentCallAttempts: 1,
-		Dial: func(addr string) (net.Conn, error) {
-			dialer := net.Dialer{Timeout: clock.Duration(watchSlack)}
+		DialTimeout: func(addr string, patience time.Duration) (net.Conn, error) {
+			dialer := net.Dialer{Timeout: min(patience, clock.Duration(pacing.WatchSlack))}
 			c, err := dialer.DialContext(ctx, "tcp", addr)
 			if err != nil {
 				return nil, err
@@ -113,7 +100,8 @@
 	failed := 0 // calls in a row; an outage is logged when it begins and ends
 	for ctx.Err() == nil {
 		begun := d.clock.Now()
-		t, err := askList(client, from, inHand)
+		hold, patience := d.pace.Call()
+		t, err := askList(client, from, inHand, hold, patience)
 		d.log.Debug("list", "from", from, "watch", inHand, "generation", t.Generation, "whole", t.Whole, "entries", len(t.Engines),
 			"ms", d.clock.Now()-begun, "err", err)
 		if ctx.Err() != nil {
@@ -123,14 +111,14 @@
 			if failed++; failed == 1 {
 				d.log.Warn("discovery: no answer, the list in hand stays", "err", err)
 			}
-			clock.Wait(ctx, d.clock, d.pace.Next())
+			clock.Wait(ctx, d.clock, d.pace.Failed(silent(err)))
 			continue
 		}
 		if failed > 0 {
 			d.log.Info("discovery: it answers again", "failed", failed)
 			failed = 0
 		}
-		d.pace.Reset()
+		d.pace.Answered()
 		switch {
 		case t.Whole:
 			d.update(ashwood.ListWhole, t.Engines)
@@ -153,18 +141,26 @@
 	return c.Conn.Close()
 }
 
-// askList waits for changes since a version, or gets the whole list without one.
+// silent tells an error for want of any answer from a discovery that said no.
+func silent(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// askList waits for changes since a version, or gets the whole list without one. It
+// may wait hold ms at discovery and is given up after patience ms.
 // Version 0 may be waited on like any other: asking for the whole list then
 // would be answered at once, again and again.
-func askList(client *fasthttp.HostClient, from int64, inHand bool) (wire.Targets, error) {
+func askList(client *fasthttp.HostClient, from int64, inHand bool, hold, patience float64) (wire.Targets, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	target := fmt.Sprintf("http://%s/api/targets", client.Addr)
 	if inHand {
-		target += fmt.Sprintf("?from=%d&hold_ms=%.0f", from, watchHold)
+		target += fmt.Sprintf("?from=%d&hold_ms=%.0f", from, hold)
 	}
 	req.SetRequestURI(target)
+	req.SetTimeout(clock.Duration(patience))
 	if err := client.Do(req, resp); err != nil {
 		return wire.Targets{}, fmt.Errorf("platform: discovery: %w", err)
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -557,7 +557,8 @@
 	got := []news{<-told, <-told}
 	var targets []string
 	for range 6 {
-		targets = append(targets, strings.TrimSuffix(<-asked, "&hold_ms=2000"))
+		target, _, _ := strings.Cut(<-asked, "&hold_ms=")
+		targets = append(targets, target)
 	}
 	want := []news{{ashwood.ListPatch, ashwood.StateFading}, {ashwood.ListWhole, ashwood.StateOn}}
 	const from = "/api/targets?from="
@@ -835,18 +836,21 @@
 	return h.Clock.AfterFunc(0, f)
 }
 
-// Discovery serves a whole fleet. The first call is made at once, those after
-// failures at waits that follow from its size and the seed; few gateways wait little.
+// A discovery that is asked serves a whole fleet. The first call is made at once, those after
+// failures at waits that follow from its size and the seed; few gateways wait little, and so
+// does one that has an agent of its own.
 func TestCallsForListsAreSpreadOverTheFleet(t *testing.T) {
 	const oops, list = "HTTP/1.1 503 Overbooked\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 45\r\n\r\n" + `{"generation":8,"reset":false,"instances":[]}`
 	for _, tt := range []struct {
 		nodes int
+		agent bool      // lists are pushed to one of its own
 		most  []float64 // ms of the waits after four failures, a success, a failure
 	}{
-		{80, []float64{3200, 6400, 10000, 10000, 3200}},
-		{4, []float64{160, 320, 640, 640, 160}},
-		{1, []float64{100, 200, 400, 400, 100}},
+		{80, false, []float64{3200, 6400, 10000, 10000, 3200}},
+		{4, false, []float64{160, 320, 640, 640, 160}},
+		{1, false, []float64{100, 200, 400, 400, 100}},
+		{300, true, []float64{100, 200, 200, 200, 100}},
 	} {
 		var first []float64
 		for seed := range int64(2) {
@@ -859,7 +863,7 @@
 			c := hasty{clock.System(), make(chan float64, 9)}
 			d := NewDiscovery(peer.Address, c, slog.New(slog.DiscardHandler))
 			d.Known(7)
-			d.Fleet(tt.nodes, seed)
+			d.Fleet(ashwood.Settings{Nodes: tt.nodes, Subscribe: !tt.agent}, seed)
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			go d.Run(ctx, func(ashwood.ListForm, []ashwood.Server) {})
--- a/router/parts.go
+++ b/router/parts.go
@@ -59,9 +59,10 @@
 // goes on from there. It is to be called before Start.
 func (p *Platform) Known(version int64) { p.d.Known(version) }
 
-// Fleet says how many gateways ask the same discovery: many ask it less often
-// each. The seed makes their waits differ. It is to be called before Start.
-func (p *Platform) Fleet(nodes int, seed int64) { p.d.Fleet(nodes, seed) }
+// Fleet says how many gateways there are and how lists come, by a Router's settings: a
+// discovery that all ask is asked less often by each. The seed makes their waits
+// differ. It is to be called before Start.
+func (p *Platform) Fleet(set ashwood.Settings, seed int64) { p.d.Fleet(set, seed) }
 
 // Run watches until ctx ends.
 func (p *Platform) Run(ctx context.Context, update func(ashwood.ListForm, []ashwood.Server)) error {
