--- a/facade.go
+++ b/facade.go
@@ -86,19 +86,6 @@
 	wake    chan struct{}
 }
 
-// flight is a request on its way through the router.
-type flight struct {
-	ctx     context.Context
-	ready   chan struct{} // something below has changed
-	step    Step          // the next one; Kind 0 = not known yet
-	place   Server        // a place to ask for while a read is out
-	release bool
-	over    bool
-	out     int // attempts
-	sent    []float64
-	cancel  []context.CancelFunc
-}
-
 // NewRouter makes a router. Its user calls Tick as that asks, and carries out
 // probes with probe, which must not block.
 func NewRouter(set Settings, seed int64, clock Clock, probe func(Server)) (*Router, error) {
@@ -269,58 +256,6 @@
 // Wake gets a value when a Tick is wanted earlier than the last one told.
 func (t *Router) Wake() <-chan struct{} { return t.wake }
 
-// wait gives a flight's next step once there is one.
-func (t *Router) wait(id RequestID, f *flight) Step {
-	for {
-		if step := t.step(id, f); step.Kind != 0 {
-			return step
-		}
-		select {
-		case <-f.ready:
-		case <-f.ctx.Done():
-		}
-	}
-}
-
-// step gives a flight's next step, without a kind as long as there is none.
-func (t *Router) step(id RequestID, f *flight) Step {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.leave(id, f)
-	step := f.step
-	switch {
-	case step.Kind != 0:
-	case f.over:
-		step.Kind = StepOver
-	case f.release:
-		step.Kind = StepRelease
-	default:
-		return step
-	}
-	step.Release = f.release
-	f.step, f.release = Step{}, false
-	if f.over && f.out == 0 {
-		delete(t.flights, id)
-	}
-	return step
-}
-
-// leave tells the module that a request's client has left. A step not yet
-// taken up is dropped, its attempt reported as never sent.
-func (t *Router) leave(id RequestID, f *flight) {
-	if f.over || f.ctx.Err() == nil {
-		return
-	}
-	f.over = true
-	t.handle(Gone{id})
-	if f.step.Kind == StepSend {
-		f.out--
-		f.cancel[f.step.Attempt]()
-		t.handle(Outcome{ID: id, Attempt: f.step.Attempt, Server: f.step.Engine.ID, Status: NotSent, Done: true})
-	}
-	f.step = Step{}
-}
-
 func (t *Router) engine(id RequestID, attempt int) ServerID {
 	if r := t.sched.reqs[id]; r != nil && attempt < len(r.attempts) {
 		return r.attempts[attempt].srv.ID
@@ -335,92 +270,3 @@
 }
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
-// handle puts an event to the module and turns its actions into steps.
-func (t *Router) handle(e Event) {
-	for _, a := range t.sched.Handle(t.now(), e, nil) {
-		switch a := a.(type) {
-		case Attempt:
-			t.send(a)
-		case Ahead:
-			if f := t.flights[a.ID]; f != nil {
-				place := t.sched.servers[a.Server].Server
-				if f.step.Kind == StepSend {
-					f.step.Place = place
-				} else {
-					f.place = place
-				}
-			}
-		case Release:
-			if f := t.flights[a.ID]; f != nil {
-				f.release = true
-				f.signal()
-			}
-		case Cancel:
-			if f := t.flights[a.ID]; f != nil {
-				f.cancel[a.Attempt]()
-			}
-		case Refuse:
-			t.final(a.ID, Step{Kind: StepRefuse, RetryAfter: millis(a.RetryAfter), Why: a.Why})
-		case Fail:
-			t.final(a.ID, Step{Kind: StepFail, Why: a.Why})
-		case SetTimer:
-			heap.Push(&t.timers, a)
-			if t.timers[0] == a {
-				select {
-				case t.wake <- struct{}{}:
-				default:
-				}
-			}
-		case Probe:
-			t.probe(t.sched.servers[a.Server].Server)
-		}
-	}
-}
-
-func (t *Router) send(a Attempt) {
-	f := t.flights[a.ID]
-	ctx, cancel := context.WithCancel(f.ctx)
-	v := t.sched.servers[a.Server]
-	once := v.role != RoleRead && t.sched.reqs[a.ID].class.Effect == SideEffect
-	f.step = Step{
-		Kind: StepSend, Attempt: len(f.sent), Engine: v.Server, Reads: v.role == RoleRead, Once: once,
-		Timeout: millis(a.Timeout), Context: ctx,
-	}
-	f.sent, f.cancel, f.out = append(f.sent, t.clock.Now()), append(f.cancel, cancel), f.out+1
-	f.signal()
-}
-
-func (t *Router) final(id RequestID, step Step) {
-	if f := t.flights[id]; f != nil {
-		f.step, f.over = step, true
-		f.signal()
-	}
-}
-
-func (f *flight) signal() {
-	select {
-	case f.ready <- struct{}{}:
-	default:
-	}
-}
-
-// timerHeap orders timers by the time that they fall due.
-type timerHeap []SetTimer
-
-func (h timerHeap) Len() int { return len(h) }
-func (h timerHeap) Less(i, j int) bool {
-	return h[i].At < h[j].At || h[i].At == h[j].At && h[i].Token < h[j].Token
-}
-func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push is for container/heap.
-func (h *timerHeap) Push(x any) { *h = append(*h, x.(SetTimer)) }
-
-// Pop is for container/heap.
-func (h *timerHeap) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
-}
--- /dev/null
+++ b/gateway/owner.go
@@ -0,0 +1,350 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math"
+	"math/rand"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"ashwood.example/ashwood"
+	"ashwood.example/ashwood/internal/clock"
+	"ashwood.example/ashwood/internal/release"
+)
+
+// Times of releases, in milliseconds, and their bounds. The rule on what is held
+// gives 500 ms and a little more (see docs/design/release.md).
+const (
+	releaseWait  = 100   // for the engines that hold, before another is asked as well
+	releaseTry   = 300   // for one call: to connect, and to be answered
+	releaseFirst = 50    // from a call that failed to the next at that engine; doubles
+	releaseLast  = 200   // to this, or in a large fleet to releaseEach for each gateway
+	releaseEach  = 1.5   // so that a fleet makes no more than some 700 calls a second at one engine
+	releaseAge   = 60000 // after which an engine that takes no call is taken to be gone
+	releaseStop  = 2000  // for what is owed when the gateway ends
+	releaseMost  = 8192  // owed at once
+	rounds       = 4     // times that others are told for one request, releaseWait apart
+	atATime      = 2     // of them
+	heardMost    = 32    // engines remembered as heard
+	againFirst   = 150   // from a doubtful release that was made to the next
+	againNext    = 300   // and to the last one, within the rule's time
+)
+
+// owner is the one owner of what is held and wanted no more: it makes the calls
+// that its ledger asks for, each beside all others.
+type owner struct {
+	g *Gateway
+
+	mu     sync.Mutex
+	ledger *release.Ledger
+	made   map[release.Key][]func()                // to be called when a release is owed no more
+	calls  map[release.Key]context.CancelCauseFunc // those out
+	recent []ashwood.Server                        // that have answered, and nothing failed since, the latest first
+	listed map[ashwood.ServerID]ashwood.Server     // that may be sent to, as last told
+	zone   string                                  // of this gateway
+	rand   *rand.Rand
+	stop   func() bool   // the timer of the next call
+	idle   chan struct{} // closed when nothing is owed and the gateway ends
+}
+
+func newOwner(g *Gateway, set ashwood.Settings, seed int64) *owner {
+	random := rand.New(rand.NewSource(seed))
+	return &owner{
+		g: g, zone: set.Zone, rand: random, listed: map[ashwood.ServerID]ashwood.Server{}, made: map[release.Key][]func(){}, calls: map[release.Key]context.CancelCauseFunc{}, stop: func() bool { return true },
+		ledger: release.New(release.Config{
+			First: releaseFirst, Last: max(releaseLast, releaseEach*float64(set.Nodes)), MaxAge: releaseAge, Most: releaseMost,
+			Again: []float64{againFirst, againNext}, Rand: random,
+		}),
+	}
+}
+
+// owe has an engine told, from now on until it has been. made is called, holding
+// no lock, once that is over. For doubtful, see release.Ledger.Owe.
+func (o *owner) owe(id ashwood.RequestID, engines []ashwood.Server, doubtful bool, made func()) {
+	o.mu.Lock()
+	for _, v := range engines {
+		k := release.Key{Engine: v.ID, Request: id}
+		o.ledger.Owe(o.g.clock.Now(), v, id, doubtful)
+		o.made[k] = append(o.made[k], made)
+	}
+	o.act()
+}
+
+// withdraw tells that a request has been sent to an engine, and which others were
+// told to let go of it before in doubt.
+func (o *owner) withdraw(id ashwood.RequestID, engine ashwood.ServerID, told []ashwood.Server) {
+	k := release.Key{Engine: engine, Request: id}
+	o.mu.Lock()
+	for _, v := range told {
+		o.ledger.Resumed(o.g.clock.Now(), release.Key{Engine: v.ID, Request: id})
+	}
+	if !o.ledger.Withdraw(o.g.clock.Now(), k) {
+		o.mu.Unlock()
+		return
+	}
+	if cancel := o.calls[k]; cancel != nil {
+		cancel(errWithdrawn)
+	}
+	o.act()
+}
+
+// errWithdrawn ends a call whose request has been sent to the engine again.
+var errWithdrawn = errors.New("gateway: the request is there again")
+
+// update follows the list of engines.
+func (o *owner) update(form ashwood.ListForm, list []ashwood.Server) {
+	o.mu.Lock()
+	now := o.g.clock.Now()
+	if form != ashwood.ListPatch {
+		clear(o.listed)
+	}
+	for _, v := range list {
+		o.ledger.Started(now, v.ID, clock.Millis(v.Started))
+		if delete(o.listed, v.ID); v.State == ashwood.StateOn {
+			o.listed[v.ID] = v
+		}
+		if v.State == ashwood.StateOff {
+			o.ledger.Left(v.ID)
+		}
+	}
+	if form == ashwood.ListWhole {
+		there := map[ashwood.ServerID]bool{}
+		for _, v := range list {
+			there[v.ID] = true
+		}
+		o.ledger.Missing(there)
+	}
+	o.act()
+}
+
+// act makes the calls that are due, with the lock held, which it gives back.
+func (o *owner) act() {
+	calls, next := o.ledger.Due(o.g.clock.Now())
+	ended := o.ledger.Ended()
+	var after []func()
+	for _, e := range ended {
+		after = append(after, o.made[e.Key]...)
+		delete(o.made, e.Key)
+	}
+	for _, c := range calls {
+		ctx, cancel := context.WithCancelCause(context.Background())
+		o.calls[c.Key] = cancel
+		o.g.spawn(func() { o.call(ctx, cancel, c) })
+	}
+	o.stop()
+	o.stop = func() bool { return true }
+	if !math.IsInf(next, 1) {
+		o.stop = o.g.clock.AfterFunc(next, func() {
+			o.mu.Lock()
+			o.act()
+		})
+	}
+	if o.idle != nil && o.ledger.Len() == 0 {
+		close(o.idle)
+		o.idle = nil
+	}
+	o.mu.Unlock()
+	for _, e := range ended {
+		o.report(e)
+	}
+	for _, f := range after {
+		f()
+	}
+}
+
+// report logs how a release has ended, where not as on any day.
+func (o *owner) report(e release.Ended) {
+	switch e.End {
+	case release.TooOld, release.Crowded:
+		o.g.log.Warn("release given up", // the engine may go on holding something
+			"id", e.Request, "engine", e.Engine, "why", e.End.String(), "ms", e.Age)
+	default:
+		o.g.log.Debug("released", "id", e.Request, "engine", e.Engine, "end", e.End.String(), "ms", e.Age)
+	}
+}
+
+// call makes one call, bounded in time. One that is ended here tells nothing of its engine.
+func (o *owner) call(ctx context.Context, cancel context.CancelCauseFunc, c release.Call) {
+	err := o.try(ctx, cancel, c.Engine, c.Request, c.Try, releaseTry)
+	o.mu.Lock()
+	delete(o.calls, c.Key)
+	if err != nil && context.Cause(ctx) == errWithdrawn {
+		o.ledger.Void(c)
+	} else {
+		o.ledger.Done(o.g.clock.Now(), c, err == nil)
+	}
+	o.act()
+}
+
+// try makes one call in so many ms at most.
+func (o *owner) try(ctx context.Context, cancel context.CancelCauseFunc, v ashwood.Server, id ashwood.RequestID, n int, ms float64) error {
+	defer cancel(nil)
+	defer o.g.clock.AfterFunc(ms, func() { cancel(nil) })()
+	begun := o.g.clock.Now()
+	err := o.g.transport.Release(ctx, v, id, n > 0)
+	if err == nil {
+		o.heard(v)
+	} else if context.Cause(ctx) != errWithdrawn {
+		o.unheard(v.ID)
+	}
+	o.g.log.Debug("release", "id", id, "engine", v.ID, "try", n, "ms", o.g.clock.Now()-begun, "err", err)
+	return err
+}
+
+// heard tells of an engine that has answered something.
+func (o *owner) heard(v ashwood.Server) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for i, old := range o.recent {
+		if old.ID == v.ID {
+			copy(o.recent[1:i+1], o.recent[:i])
+			o.recent[0] = v
+			return
+		}
+	}
+	if o.recent = append(o.recent, v); len(o.recent) > heardMost {
+		o.recent = o.recent[:heardMost]
+	}
+	copy(o.recent[1:], o.recent)
+	o.recent[0] = v
+}
+
+// unheard tells of an engine that has not answered.
+func (o *owner) unheard(id ashwood.ServerID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.recent = slices.DeleteFunc(o.recent, func(v ashwood.Server) bool { return v.ID == id })
+}
+
+// witnesses gives up to n engines to be told in place of those, no two of a zone
+// if there are several: the ones heard last, in zones of which none has failed to
+// answer, and then any others there, this gateway's own zone first.
+func (o *owner) witnesses(n int, not map[ashwood.ServerID]bool, silent map[string]bool) (found []ashwood.Server) {
+	var recent, rest []ashwood.Server
+	o.mu.Lock()
+	for _, v := range o.recent {
+		if _, ok := o.listed[v.ID]; ok && !o.ledger.Failing(v.ID) {
+			recent = append(recent, v)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(o.listed)) {
+		if !o.ledger.Failing(id) {
+			rest = append(rest, o.listed[id])
+		}
+	}
+	o.rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	o.mu.Unlock()
+	slices.SortStableFunc(rest, func(a, b ashwood.Server) int {
+		near := map[bool]int{true: 0, false: 1}
+		return near[a.Zone == o.zone] - near[b.Zone == o.zone]
+	})
+	used := map[string]bool{}
+	for _, pass := range []struct {
+		from     []ashwood.Server
+		anywhere bool
+	}{{recent, false}, {rest, false}, {recent, true}, {rest, true}} {
+		if pass.anywhere && len(found) > 0 {
+			break
+		}
+		for _, v := range pass.from {
+			if len(found) < n && !not[v.ID] && (pass.anywhere || !silent[v.Zone] && !used[v.Zone]) {
+				found = append(found, v)
+				not[v.ID], used[v.Zone] = true, true
+			}
+		}
+	}
+	return found
+}
+
+// failing tells whether none of these engines took the last call.
+func (o *owner) failing(engines []ashwood.Server) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !slices.ContainsFunc(engines, func(v ashwood.Server) bool { return !o.ledger.Failing(v.ID) })
+}
+
+// wait waits until nothing is owed.
+func (o *owner) wait() {
+	idle := make(chan struct{})
+	o.mu.Lock()
+	o.idle = idle
+	o.act()
+	<-idle
+}
+
+// abandon gives up what is owed.
+func (o *owner) abandon() {
+	o.mu.Lock()
+	o.ledger.Abandon(o.g.clock.Now())
+	for _, cancel := range o.calls {
+		cancel(nil)
+	}
+	o.act()
+}
+
+// tell owes a release to engines and sees to it beside the request.
+func (o *owner) tell(id ashwood.RequestID, engines []ashwood.Server, doubtful bool) {
+	if len(engines) > 0 {
+		o.g.spawn(o.settle(id, engines, doubtful))
+	}
+}
+
+// settle owes a release to engines. What it gives is to be called, and returns once
+// they have all got it or one of them is too slow. As the protocol has it, a call releases what is held at
+// whatever engine: where none of them could be told in time, others are told in
+// their place, and theirs stays owed.
+func (o *owner) settle(id ashwood.RequestID, engines []ashwood.Server, doubtful bool) (wait func()) {
+	made, slow := make(chan struct{}, len(engines)), make(chan struct{})
+	patience := float64(releaseWait)
+	if o.failing(engines) {
+		patience = 0
+	}
+	stop := o.g.clock.AfterFunc(patience, func() { close(slow) })
+	o.owe(id, engines, doubtful, func() { made <- struct{}{} })
+	return func() {
+		defer stop()
+		o.see(id, engines, made, slow)
+	}
+}
+
+// see waits for releases, and has other engines told if they are too slow.
+func (o *owner) see(id ashwood.RequestID, engines []ashwood.Server, made, slow chan struct{}) {
+	told := 0
+	for told < len(engines) {
+		select {
+		case <-made:
+			told++
+			continue
+		case <-slow:
+		}
+		break
+	}
+	told += len(made) // those of the same moment
+	if told > 0 {
+		return
+	}
+	not, silent := map[ashwood.ServerID]bool{}, map[string]bool{}
+	ask := engines
+	for n := 0; n < rounds; n++ {
+		for _, v := range ask {
+			not[v.ID], silent[v.Zone] = true, true
+		}
+		ask = o.witnesses(atATime, not, silent)
+		var got atomic.Bool
+		var all sync.WaitGroup
+		for _, v := range ask {
+			all.Go(func() {
+				ctx, cancel := context.WithCancelCause(context.Background())
+				if o.try(ctx, cancel, v, id, n, releaseWait) == nil {
+					got.Store(true)
+				}
+			})
+		}
+		if all.Wait(); got.Load() || len(made) > 0 || len(ask) == 0 {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+
+	"ashwood.example/ashwood"
+)
+
+// stream reports the end of a served answer to the router, once.
+type stream struct {
+	Stream
+	g       *Gateway
+	ctx     context.Context // of the client
+	id      ashwood.RequestID
+	attempt int
+	cancel  context.CancelCauseFunc
+	engine  ashwood.Server
+	pieces  int // brought so far
+	class   string
+	begun   float64 // when the request was taken
+	ended   bool
+}
+
+// Next passes a piece on. Connections may fall silent and stay open, with an
+// engine that has vanished or one that is at work: the client is not to be left
+// waiting, and the answer counts as broken.
+func (s *stream) Next() ([]byte, error) {
+	stop := s.watch()
+	piece, err := s.Stream.Next()
+	stop()
+	switch {
+	case err == nil:
+		s.pieces++
+	case errors.Is(err, io.EOF):
+		s.end(ashwood.Served)
+	case s.ctx.Err() != nil:
+		s.end(ashwood.CalledOff)
+		err = ErrClientGone
+	default:
+		s.g.log.Debug("stream broke", "id", s.id, "err", err)
+		s.end(ashwood.ConnectionLost)
+	}
+	return piece, err
+}
+
+// watch ends the answer if it has stopped. The module knows from other answers.
+func (s *stream) watch() (stop func()) {
+	var mu sync.Mutex
+	var cancel func() bool
+	var look func()
+	over, first, since := false, s.pieces == 1, s.g.clock.Now()
+	arm := func(ms float64) {
+		mu.Lock()
+		defer mu.Unlock()
+		if !over {
+			cancel = s.g.clock.AfterFunc(ms, look)
+		}
+	}
+	look = func() {
+		stopped, ask := s.g.router.Stopped(s.id, s.attempt, since, first)
+		if stopped || s.g.clock.Now()-since >= stallWait {
+			s.cancel(ErrStalled)
+			return
+		}
+		if ask {
+			s.g.spawn(func() { s.g.probe(s.engine) })
+		}
+		arm(stopLook)
+	}
+	arm(stopWait)
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		over = true
+		cancel()
+	}
+}
+
+// Close ends the engine's stream if it has not ended.
+func (s *stream) Close() error {
+	s.end(ashwood.CalledOff)
+	s.cancel(nil)
+	return s.Stream.Close()
+}
+
+func (s *stream) end(status ashwood.Status) {
+	if s.ended {
+		return
+	}
+	s.ended = true
+	s.g.log.Debug("end", "id", s.id, "class", s.class, "status", status, "ms", s.g.clock.Now()-s.begun)
+	s.g.router.Report(s.id, s.attempt, ashwood.Result{Status: status, Report: s.Stream.Report()})
+}
--- /dev/null
+++ b/gateway/types.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"net/netip"
+	"strconv"
+
+	"ashwood.example/ashwood"
+	"ashwood.example/ashwood/internal/clock"
+)
+
+// Errors of replies and streams.
+var (
+	ErrClientGone = errors.New("gateway: the client has left")
+	ErrTimedOut   = errors.New("gateway: no first token in time")
+	ErrStalled    = errors.New("gateway: the answer has stalled")
+)
+
+// Clock tells the time and calls back; see SystemClock.
+type Clock = clock.Clock
+
+// SystemClock is the machine's clock.
+func SystemClock() Clock { return clock.System() }
+
+// Request is a client's try in the form that its front and the transport share.
+type Request struct {
+	ashwood.Call
+	Front  string     // by which it came, for limits
+	Client netip.Addr // of the client, for limits; zero = not known
+	Method string
+	Target string // path and query
+	Header [][2]string
+	Body   []byte // as it came
+}
+
+// Key turns the opaque name of a session or a prefix into the number that
+// decisions take: hexadecimal digits as they read, else a hash. None gives 0.
+func Key(name string) uint64 {
+	if name == "" {
+		return 0
+	}
+	if v, err := strconv.ParseUint(name, 16, 64); err == nil {
+		return v
+	}
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// Kind tells how a request ended, as far as Serve knows.
+type Kind int
+
+// String names a kind in logs and records.
+func (k Kind) String() string {
+	switch k {
+	case Served:
+		return "served"
+	case Refused:
+		return "refused"
+	case Failed:
+		return "failed"
+	case Gone:
+		return "gone"
+	}
+	return "none"
+}
+
+// The kinds of replies.
+const (
+	Served  Kind = iota + 1 // Stream brings the answer
+	Refused                 // trying again does no harm
+	Failed                  // it may have run
+	Gone                    // the client has left: no answer is owed
+)
+
+// Reply is the one final answer to a request.
+type Reply struct {
+	Kind       Kind
+	Stream     Stream
+	RetryAfter float64     // ms, with Refused; 0 = no advice
+	Why        ashwood.Why // with Refused and Failed
+	Err        error       // of the last attempt, where an engine gave one
+}
+
+// Stream is an answer on its way. It is used by one goroutine.
+type Stream interface {
+	// Next gives the next piece as it came, valid until the next call. After
+	// a whole answer the error is io.EOF; with any other the answer is broken.
+	Next() ([]byte, error)
+	// Report is the engine's load as told at the stream's end, if it was.
+	Report() ashwood.Report
+	// Close gives up what is left. It may be called at any time, and again.
+	Close() error
+}
+
+// Attempt is one sending of a request to an engine.
+type Attempt struct {
+	*Request
+	Engine    ashwood.Server
+	Reads     bool        // a reader, which answers with a read state
+	Once      bool        // it may have an effect: not to be risked on a connection that may be dead
+	Remaining float64     // ms that the gateway will wait for the first token
+	Ready     func() bool // asked right before the first byte is written; false forbids it
+	Sent      func()      // called right after the last byte has been
+}
+
+// Answer is what came of an attempt. With Served, Stream has its first piece.
+type Answer struct {
+	ashwood.Result
+	Stream Stream
+	Err    error // what the engine or the network said, for the front and the log
+}
+
+// Transport speaks to engines. A transport never sends anything twice by
+// itself. Its statuses are NotSent and NoConnection (the last byte has not
+// left), TurnedAway, Parsed, Served, ServerError and ConnectionLost.
+type Transport interface {
+	// Send carries an attempt out until its first piece or its end. When ctx
+	// ends, it gives the attempt up at once; ctx goes on to bound the stream.
+	Send(ctx context.Context, a Attempt) Answer
+	// Reserve asks a writer to hold a place for a request that is being read.
+	// Ready is asked right before the first byte is written.
+	Reserve(ctx context.Context, engine ashwood.Server, id ashwood.RequestID, ready func() bool) Place
+	// Release lets go of all that is held for a request; nil once the call has
+	// reached the engine. After a try that got no answer, fresh asks for a connection
+	// that was not there then. It may use a few sockets beyond what attempts may.
+	Release(ctx context.Context, engine ashwood.Server, id ashwood.RequestID, fresh bool) error
+	// Probe asks an engine for its load.
+	Probe(ctx context.Context, engine ashwood.Server) (ashwood.Status, ashwood.Report)
+}
+
+// Place tells what came of asking for a place.
+type Place int
+
+// What may come of asking for a place.
+const (
+	PlaceHeld    Place = iota + 1
+	PlaceRefused       // surely not held
+	PlaceUnknown       // no clear answer: it may be held
+	PlaceUnasked       // the call has not left: surely not held
+)
--- /dev/null
+++ b/internal/platform/engines_test.go
@@ -0,0 +1,285 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"ashwood.example/ashwood"
+	"ashwood.example/ashwood/gateway"
+	"ashwood.example/ashwood/internal/clock"
+)
+
+// An engine may close an idle connection; a request written to it would end as a reset.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	got := make(chan seen, 9)
+	c := start(t, engine(t, "r1", "reader", reads), engine(t, "w1", "writer", writes(func(s seen) string {
+		got <- s
+		return whole() + "\x00" // and closes it
+	})))
+	for range 3 {
+		r, body, err := ask(t, c, request("order", "", "{}"))
+		s := <-got
+		s.conn.Read(make([]byte, 1)) // until it is closed
+		if r.StatusCode != 200 || err != nil {
+			t.Fatalf("%s, %q, %v", r.Status, body, err)
+		}
+	}
+}
+
+// Clients and engines share the node's descriptors, so that the pool keeps to
+// its part: it closes an idle connection for a new one, and opens none beyond.
+func TestPoolKeepsToItsPartAndClosesWhatIsIdle(t *testing.T) {
+	c := clock.NewManual(0)
+	p := newPool(c, 2000, 1000, 2)
+	get := func(addr string) *conn {
+		t.Helper()
+		got, err := p.get(context.Background(), addr, anyConn)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return got
+	}
+	first, second := listen(t).Addr().String(), listen(t).Addr().String()
+	a, b := get(first), get(first)
+	if _, err := p.get(context.Background(), second, anyConn); !errors.Is(err, errTooMany) {
+		t.Errorf("a third connection: %v", err)
+	}
+	spare, err := p.get(context.Background(), second, newSpare) // for what is held
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.get(context.Background(), second, newSpare); !errors.Is(err, errTooMany) {
+		t.Errorf("a second spare connection: %v", err)
+	}
+	p.discard(spare)
+	p.put(a)
+	c.Advance(1)
+	p.put(b)
+	other := get(second)
+	if _, err := a.Write([]byte("x")); !errors.Is(err, net.ErrClosed) || p.open != 2 {
+		t.Errorf("the oldest idle connection: %v; %d open", err, p.open)
+	}
+	if again := get(first); again != b {
+		t.Error("an idle connection is not used again")
+	}
+	p.put(b)
+	p.put(other)
+	c.Advance(1000)
+	p.sweep()
+	if p.open != 2 {
+		t.Errorf("%d open after the time that they may be idle, want 2", p.open)
+	}
+	c.Advance(1)
+	p.sweep()
+	if p.open != 0 || len(p.idle) != 0 {
+		t.Errorf("%d open, idle %v", p.open, p.idle)
+	}
+}
+
+// Only what has not left whole is proved not to have run.
+func TestWhatAnAttemptWithoutAnAnswerProves(t *testing.T) {
+	live, ended := context.Background(), func() context.Context {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		return ctx
+	}()
+	tests := []struct {
+		ctx   context.Context
+		wrote bool
+		err   error
+		want  ashwood.Status
+	}{
+		{live, true, io.EOF, ashwood.ConnectionLost},
+		{ended, true, context.Canceled, ashwood.ConnectionLost},
+		{live, false, io.ErrShortWrite, ashwood.NoConnection},
+		{ended, false, io.ErrShortWrite, ashwood.NotSent},
+		{live, false, errNotReady, ashwood.NotSent},
+		{live, false, errTooMany, ashwood.NotSent},
+	}
+	for _, tt := range tests {
+		if got := failed(tt.ctx, tt.wrote, tt.err).Status; got != tt.want {
+			t.Errorf("wrote %v, %v: %v, want %v", tt.wrote, tt.err, got, tt.want)
+		}
+	}
+}
+
+func TestProbeTellsTheLoad(t *testing.T) {
+	e := NewEngines(settings(), clock.NewManual(0), 9)
+	for _, tt := range []struct {
+		name, answer string
+		status       ashwood.Status
+		report       ashwood.Report
+	}{
+		{"in the head", "HTTP/1.1 200 OK\r\nX-Pressure: inflight=3,x0=0.5\r\nContent-Length: 0\r\n\r\n",
+			ashwood.Served, ashwood.Report{ashwood.ReportInFlight: 3, ashwood.ReportMemory: 0.5}},
+		{"in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("queue=2") + "0\r\n\r\n",
+			ashwood.Served, ashwood.Report{ashwood.ReportQueue: 2}},
+		{"an error", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", ashwood.ServerError, nil},
+		{"a reset", "\x00", ashwood.ConnectionLost, nil},
+	} {
+		v := engine(t, "w1", "writer", func(s seen) string {
+			if s.Method != "GET" || s.Target != loadPath {
+				t.Errorf("%s %s", s.Method, s.Target)
+			}
+			return tt.answer
+		})
+		status, report := e.Probe(context.Background(), v)
+		if diff := cmp.Diff(tt.report, report); status != tt.status || diff != "" {
+			t.Errorf("%s: status %v\n%s", tt.name, status, diff)
+		}
+	}
+}
+
+// A kept connection may be dead unnoticed, and an order that is lost on it must
+// not be sent again: it goes to its writer on a new one.
+func TestOrdersGoOnNewConnections(t *testing.T) {
+	conns := map[net.Conn]bool{}
+	c := start(t, engine(t, "r1", "reader", reads), engine(t, "w1", "writer", func(s seen) string {
+		if s.Method == "DELETE" || strings.HasPrefix(s.Target, roomsPath) {
+			return freed
+		}
+		conns[s.conn] = true
+		return whole()
+	}))
+	for range 3 {
+		if r, _, err := ask(t, c, request("order", "", "{}")); r.StatusCode != 200 || err != nil {
+			t.Errorf("%s, %v", r.Status, err)
+		}
+	}
+	if len(conns) != 3 {
+		t.Errorf("three orders came on %d connections", len(conns))
+	}
+}
+
+// A release on a kept connection that has gone silent, is closed, or breaks off in mid-answer
+// has not been made; the next goes on none that was there then.
+func TestReleaseIsMadeAgainOnANewConnection(t *testing.T) {
+	for name, fault := range map[string]string{"silent": "", "closed": "\x00", "cut short": "HTTP/1.1 20\x00", "no head": "\r\n\x00"} {
+		e, got, answers := NewEngines(settings(), clock.System(), 9), make(chan net.Conn), make(chan string)
+		v := engine(t, "w1", "writer", func(s seen) string {
+			got <- s.conn
+			return <-answers
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		end := make(chan error, 2)
+		release := func(fresh bool) net.Conn {
+			go func() { end <- e.Release(ctx, v, "q", fresh) }()
+			return <-got
+		}
+		kept := []net.Conn{release(false), release(false)} // two at once
+		for range kept {
+			answers <- freed
+			if err := <-end; err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+		if c := release(false); !slices.Contains(kept, c) {
+			t.Errorf("%s: not on a kept connection", name)
+		}
+		if answers <- fault; fault == "" {
+			cancel() // its owner has waited for long enough
+		}
+		if err := <-end; err == nil {
+			t.Errorf("%s: a release without an answer counts", name)
+		}
+		ctx = context.Background()
+		if c := release(true); slices.Contains(kept, c) {
+			t.Errorf("%s: made again on a connection that was there", name)
+		}
+		answers <- freed
+		if err := <-end; err != nil {
+			t.Errorf("%s: made again: %v", name, err)
+		}
+		cancel()
+	}
+}
+
+// Gateways of a large fleet wait for connections as long as they take of late; those of a
+// small one for the time in the settings, as they did.
+func TestConnectsAreWaitedForAsLongAsTheyTake(t *testing.T) {
+	for nodes, want := range map[int]float64{300: 400, 4: 2000} {
+		set := settings()
+		set.Nodes = nodes
+		e := NewEngines(set, clock.NewManual(1), 99) // on which each takes no time
+		addr := listen(t).Addr().String()
+		for range 20 {
+			c, err := e.pool.get(context.Background(), addr, newConn)
+			if err != nil {
+				t.Fatal(err)
+			}
+			e.pool.discard(c)
+		}
+		if w := e.pool.wait.Wait(); w != want {
+			t.Errorf("%d gateways wait for %v ms, want %v", nodes, w, want)
+		}
+	}
+}
+
+// Where machines forget connections, most of the kept ones are dead: once one has
+// shown, none is kept for a while.
+func TestNoConnectionIsKeptAfterOneHasDied(t *testing.T) {
+	c := clock.NewManual(1)
+	p := newPool(c, 2000, 9000, 9)
+	addr := listen(t).Addr().String()
+	get := func() *conn {
+		t.Helper()
+		got, err := p.get(context.Background(), addr, anyConn)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return got
+	}
+	a, b := get(), get()
+	p.broke(b) // a new one tells nothing of the kept
+	p.put(a)
+	p.put(b)
+	if got := get(); got != b {
+		t.Fatal("no connection is kept")
+	}
+	p.broke(b)
+	p.discard(b)
+	fresh := get()
+	if fresh == a {
+		t.Error("a kept connection is used after another had died")
+	}
+	if p.put(fresh); p.open != 1 {
+		t.Errorf("%d open: a connection is kept", p.open)
+	}
+	c.Advance(doubtTime)
+	if get() != a {
+		t.Error("connections are not used again in time")
+	}
+}
+
+// An attempt given up in the moment in which it fails must not take the process
+// down: what ends its connection then runs when the connection is cleared already.
+// On one processor it runs after, each time.
+func TestGivenUpInTheMomentOfAFailure(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	e := NewEngines(ashwood.Settings{}, clock.System(), 16)
+	writer := engine(t, "w", "decode", func(seen) string { return "" })
+	for i := range 50 {
+		ctx, cancel := context.WithCancel(context.Background())
+		ans := e.Send(ctx, gateway.Attempt{
+			Request: &gateway.Request{Call: ashwood.Call{ID: ashwood.RequestID(fmt.Sprint(i))}, Method: "POST", Target: "/", Body: []byte("{}")},
+			Engine:  writer, Remaining: 1000, Sent: func() {},
+			Ready: func() bool {
+				cancel()
+				return false
+			},
+		})
+		if ans.Status != ashwood.NotSent {
+			t.Fatalf("try %d: %v, %v", i, ans.Status, ans.Err)
+		}
+		runtime.Gosched()
+	}
+}
--- /dev/null
+++ b/internal/platform/server_test.go
@@ -0,0 +1,140 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestMalformedRequestsAreAnsweredWithTheReason(t *testing.T) {
+	tests := []struct {
+		old, new, reason string
+		code             int
+	}{
+		{"X-Txn: 9b1f\r\n", "", "X-Txn", 400},
+		{"X-Lane: chat\r\n", "", "X-Lane", 400},
+		{"X-Lane: chat", "X-Lane: nosuch", "nosuch", 400},
+		{"15.000", "soon", "X-Remaining", 400},
+		{"prompt_len=64", "prompt_len=-1", "prompt_len", 400},
+		{"X-Txn: 9b1f", "X-Txn: ..", "X-Txn", 400}, // it becomes part of a path
+		{"X-Txn: 9b1f", "X-Txn: 9b1f\r\nX-Txn: 9b20", "2 times", 400},
+		{"15.000", "1e3", "X-Remaining", 400},
+		{"15.000", "99999", "X-Remaining", 400},
+		{"\r\n\r\n{}", "\r\n\r\n{\"", "JSON", 400}, // cut off by a length that is wrong
+		{"Content-Length: 2\r\n\r\n{}", "Content-Length: 0\r\n\r\n", "JSON", 400},
+		{"Content-Length: 2\r\n", "Content-Length: 2\r\nContent-Length: 2\r\n", "", 400},
+		{"Content-Length: 2\r\n", "Content-Length: -2\r\n", "", 400},
+		{"Content-Length: 2\r\n\r\n{}", "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n", "length", 400},
+		{"Content-Length: 2\r\n", "Content-Length: x\r\n", "", 400},
+		{"Content-Length: 2\r\n", "Content-Length: 999999\r\n", "", 413},
+	}
+	for _, tt := range tests {
+		c := start(t)
+		r, body, _ := ask(t, c, strings.Replace(request("chat", "", "{}"), tt.old, tt.new, 1))
+		if r.StatusCode != tt.code || !strings.Contains(body, tt.reason) {
+			t.Errorf("%q: %s, %q", tt.new, r.Status, body)
+		}
+		// What follows a request with an unclear end must not be taken for another.
+		if tt.reason != "nosuch" {
+			if _, err := c.Read(make([]byte, 1)); err == nil {
+				t.Errorf("%q: the connection stays open", tt.new)
+			}
+		}
+	}
+}
+
+// Clients keep coming for a while after SIGTERM, over open connections and new
+// ones. They are served and told to close, and what runs at the end is finished.
+func TestDrainingServerTakesWhatComesAndFinishesIt(t *testing.T) {
+	writing, finish := make(chan struct{}, 9), make(chan struct{})
+	s, addr := serve(t, engine(t, "r1", "reader", reads), engine(t, "w1", "writer", writes(func(seen) string {
+		writing <- struct{}{}
+		<-finish
+		return whole()
+	})))
+	open := dial(t, addr)
+	s.Drain()
+	type answer struct {
+		code  int
+		body  string
+		close bool
+	}
+	answers, ended := make(chan answer, 2), make(chan error, 1)
+	for _, c := range []net.Conn{open, dial(t, addr)} {
+		id := fmt.Sprintf("X-Txn: %p", c)
+		go func() {
+			r, body, err := ask(t, c, strings.Replace(request("order", "", "{}"), "X-Txn: 9b1f", id, 1))
+			if err != nil {
+				t.Error(err)
+			}
+			answers <- answer{r.StatusCode, body, r.Close}
+		}()
+		<-writing
+	}
+	go func() { ended <- s.Shutdown(context.Background()) }()
+	close(finish)
+	want := answer{200, event1 + ending, true}
+	if a, b := <-answers, <-answers; a != want || b != want {
+		t.Errorf("got %+v and %+v, want %+v", a, b, want)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// Clients may keep connections that they never use again, or open many and say
+// nothing. A new client gets in, and no connection with a request is closed.
+func TestNewClientsGetInPastSilentConnections(t *testing.T) {
+	writing, finish := make(chan struct{}, 9), make(chan struct{})
+	s, addr := serve(t, engine(t, "r1", "reader", reads), engine(t, "w1", "writer", writes(func(seen) string {
+		writing <- struct{}{}
+		<-finish
+		return whole()
+	})))
+	busy := dial(t, addr)
+	io.WriteString(busy, request("order", "", "{}"))
+	<-writing
+	silent := dial(t, addr)
+	for range s.limit {
+		dial(t, addr)
+	}
+	if _, err := silent.Read(make([]byte, 1)); err == nil {
+		t.Error("the oldest silent connection got an answer")
+	}
+	close(finish)
+	for name, c := range map[string]net.Conn{"busy": busy, "new": dial(t, addr)} {
+		text := ""
+		if name == "new" {
+			text = strings.Replace(request("order", "", "{}"), "9b1f", "9b20", 1)
+		}
+		if r, body, err := ask(t, c, text); r.StatusCode != 200 || err != nil {
+			t.Errorf("%s: %s, %q, %v", name, r.Status, body, err)
+		}
+	}
+}
+
+// A client that says nothing, half of a request or a little now and then is
+// not waited for beyond the time for a whole request.
+func TestRequestsThatNeverEndAreGivenUp(t *testing.T) {
+	_, addr := serve(t)
+	conns := []net.Conn{dial(t, addr), dial(t, addr), dial(t, addr)}
+	io.WriteString(conns[1], request("chat", "", "{}")[:200])
+	go func() {
+		for range time.Tick(50 * time.Millisecond) {
+			if _, err := io.WriteString(conns[2], "X"); err != nil {
+				return
+			}
+		}
+	}()
+	for i, c := range conns {
+		got, err := io.ReadAll(c)
+		if ne, ok := err.(net.Error); ok && ne.Timeout() || bytes.HasPrefix(got, []byte("HTTP/1.1 2")) {
+			t.Errorf("client %d: %q, %v", i, got, err)
+		}
+	}
+}
