--- /dev/null
+++ b/choose.go
@@ -0,0 +1,234 @@
+package ashwood
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"ashwood.example/ashwood/internal/prefix"
+	"ashwood.example/ashwood/internal/trend"
+)
+
+// pool lists the servers of a stage that a request may use: the one whose single
+// trial is due, cold writers whose turn it is (readers are chosen by what they have
+// kept), else the trusted, else, when none is left, all.
+func (s *Scheduler) pool(r *request, match func(Role) bool) (good []*server) {
+	var rest, turn []*server
+	for _, v := range s.order {
+		switch z := v.path; {
+		case !match(v.role) || !s.usable(r, v):
+		case s.trusted(v) && s.set.Nodes > manyNodes && s.cold(v) && v.role != RoleRead:
+			turn = append(turn, v)
+		case s.trusted(v) && s.now >= v.refuses[r.kind()] && !(r.near && v.Zone != s.set.Zone):
+			good = append(good, v)
+		case !s.trusted(v) && (v.due(s.now) || !v.ejected) && (z.due(s.now) || !z.ejected) && len(r.attempts) <= 1:
+			return []*server{v}
+		default:
+			rest = append(rest, v)
+		}
+	}
+	for _, some := range [][]*server{turn, good} {
+		if len(some) > 0 {
+			return some
+		}
+	}
+	return rest
+}
+
+// pickReader is the design's reader rule. Without a reader, a mixed server
+// serves in one stage, and failing that a writer where writers read.
+func (s *Scheduler) pickReader(r *request) (v *server, write bool) {
+	if p := s.pool(r, reads); len(p) > 0 {
+		return s.byPrefix(r, s.paired(r, p)), false
+	}
+	if p := s.pool(r, mixed); len(p) > 0 {
+		return s.byPrefix(r, p), true
+	}
+	if p := s.pool(r, writes); s.set.WritersRead && len(p) > 0 {
+		return s.roomiest(p, nil), true
+	}
+	return nil, false
+}
+
+// paired leaves of a pool the readers in whose cell a writer has room, near to the
+// best anywhere, while states that leave their cell are slow to move: all of a
+// cell's share its one link, which clogs where its writers are gone or full.
+func (s *Scheduler) paired(r *request, pool []*server) []*server {
+	room, best, cells := s.rooms(RoleWrite), 0.0, map[int]float64{}
+	for _, w := range s.order {
+		if w.role == RoleWrite && s.trusted(w) && s.usable(r, w) {
+			cells[w.Cell] = max(cells[w.Cell], room(w))
+			best = max(best, room(w))
+		}
+	}
+	unpaired := func(v *server) bool { return cells[v.Cell] < best*nearRoom }
+	near := slices.DeleteFunc(slices.Clone(pool), unpaired)
+	if len(near) == 0 || s.toll() < tollLimit*float64(s.minAim) {
+		return pool
+	}
+	return near
+}
+
+// counts estimates the unfinished reads at readers on the fleet's scale, or
+// what is reported if that is more and new, and how far chance may put it off. Of
+// many nodes, own counts are chance: reports tell, with age the less, and the mean.
+func (s *Scheduler) counts(role Role) (count func(*server) float64, chance float64) {
+	mean, _ := s.mean(role, func(v *server) (float64, bool) { return float64(v.reads), true })
+	told, heard := s.mean(role, func(v *server) (float64, bool) { return v.running(), len(v.report) > 0 })
+	if s.set.Nodes > manyNodes && heard > 0 {
+		return func(v *server) float64 {
+			if len(v.report) == 0 {
+				return told
+			}
+			return told + (v.running()-told)*math.Exp(-float64(s.now-v.reportAt)/float64(4*s.minAim))
+		}, 1
+	}
+	return func(v *server) float64 {
+		n := trend.Fleet(s.set.Nodes, float64(v.reads), mean, 1)
+		if len(v.report) > 0 && s.now-v.reportAt < probeEvery {
+			n = max(n*(1-s.crowd), v.running())
+		}
+		return n
+	}, s.crowd * float64(s.set.Nodes-1) * mean / math.Sqrt(1+mean)
+}
+
+// byPrefix is the gap test, then matches up to the cap, then the fewest-running
+// server. A reader among the prefix's homes counts as holding it: all nodes
+// send there, so that it does whether this node has or not.
+func (s *Scheduler) byPrefix(r *request, pool []*server) *server {
+	count, chance := s.counts(pool[0].role)
+	key := cmp.Or(r.Prefix, r.Session)
+	fewest, best := pool[0], (*server)(nil)
+	var sum, sq, most, top float64
+	for _, v := range pool {
+		n, least := count(v), count(fewest)
+		sum, sq, most = sum+n, sq+n*n, max(most, n)
+		if here := v.Zone == s.set.Zone; n < least || n == least && (here && fewest.Zone != s.set.Zone ||
+			here == (fewest.Zone == s.set.Zone) && v.score(key) > fewest.score(key)) {
+			fewest = v
+		}
+	}
+	if most-count(fewest) > max(countGap, deviations*chance) {
+		return fewest
+	}
+	n := float64(len(pool))
+	limit := sum/n + deviations*max(math.Sqrt(max(sq/n-sum/n*sum/n, 0)), chance)
+	homes := s.homes(r, pool)
+	for _, v := range pool {
+		share, _ := s.match(r, v)
+		if slices.Contains(homes, v) {
+			share = max(share, r.PrefixTokens, 1)
+		}
+		if share == 0 || count(v) > limit+1e-9 || best != nil && share < top {
+			continue
+		}
+		if best == nil || share > top || count(v) < count(best)-chance ||
+			count(v) <= count(best)+chance && v.score(r.Session) > best.score(r.Session) {
+			best, top = v, share
+		}
+	}
+	return cmp.Or(best, fewest)
+}
+
+// homes are the two readers to which a prefix's and then the session's key hash,
+// the prefix's among more readers the more traffic begins with it.
+func (s *Scheduler) homes(r *request, pool []*server) []*server {
+	uses, n := 0.0, float64(len(pool))
+	for _, v := range pool {
+		uses += s.table.Used(v.runs, prefix.Key{Hash: r.Prefix})
+	}
+	want, need := 2, spread*n*max(uses-1, 0)/(s.table.Uses()+n) // what was seen once may be chance
+	for float64(want) < need {
+		want *= 2 // so that nodes mostly agree and a session finds its earlier turns
+	}
+	homes := slices.Clone(pool)
+	for _, key := range []uint64{cmp.Or(r.Prefix, r.Session), r.Session} {
+		slices.SortFunc(homes, func(a, b *server) int { return cmp.Compare(b.score(key), a.score(key)) })
+		homes, want = homes[:min(want, len(homes))], 2
+	}
+	return homes
+}
+
+// pickWriter is the design's writer rule: the holder, else the roomiest.
+func (s *Scheduler) pickWriter(r *request, reader *server) *server {
+	h := r.ahead
+	if r.state != nil && h != nil && h.listed && !r.tried[h] && r.mayRunOn(h, s.now) && s.coldRoom(h, r) {
+		return h
+	}
+	return s.roomiest(s.pool(r, writes), reader)
+}
+
+// roomiest prefers the reader's cell, then its zone, while room there is not
+// far below the best anywhere. Equals are drawn for, or all nodes would follow
+// one old report to the same writer. Many nodes know so little of a writer that
+// each would take those with the largest memory: they draw for all, by their room.
+func (s *Scheduler) roomiest(pool []*server, reader *server) *server {
+	if len(pool) == 0 {
+		return nil
+	}
+	room := s.rooms(pool[0].role)
+	var best [3]*server // anywhere, in the zone, in the cell
+	var most, sum [3]float64
+	first := s.rng.Intn(len(pool))
+	for i := range pool {
+		v := pool[(first+i)%len(pool)]
+		n := room(v)
+		for near := range best {
+			more := best[near] == nil || n > most[near]
+			if more {
+				most[near] = n
+			}
+			if sum[near] += max(n, 1); s.set.Nodes > manyNodes {
+				more = s.rng.Float64()*sum[near] < max(n, 1)
+			}
+			if more {
+				best[near] = v
+			}
+			if reader == nil || near == 0 && v.Zone != reader.Zone || near == 1 && v.Cell != reader.Cell {
+				break
+			}
+		}
+	}
+	for near := 2; near > 0; near-- {
+		if best[near] != nil && most[near] >= max(most[0], 0)*nearRoom {
+			return best[near]
+		}
+	}
+	return best[0]
+}
+
+// rooms estimates the memory free at writers, less where one is slow: the lower
+// of what it reported less prompts sent since, and of what own requests suggest.
+// With age its cell's mean counts instead: some cells have too few writers.
+func (s *Scheduler) rooms(role Role) func(*server) float64 {
+	wanted := func(v *server) (float64, bool) { // held, and waited for
+		x, ok := v.report[ReportMemory]
+		return x + v.report[ReportQueue]*s.prompt/max(v.memory, 1), ok
+	}
+	used, heard := s.mean(role, wanted)
+	held, _ := s.mean(role, func(v *server) (float64, bool) { return v.held, true })
+	cell, told := map[int]float64{}, map[int]float64{}
+	for _, v := range s.order {
+		if x, ok := wanted(v); ok && v.listed && v.role == role {
+			cell[v.Cell], told[v.Cell] = cell[v.Cell]+x, told[v.Cell]+1
+		}
+	}
+	return func(v *server) float64 {
+		room := v.memory - trend.Fleet(s.set.Nodes, v.held, held, s.prompt)
+		if heard > 0 {
+			x := (cell[v.Cell] + used) / (told[v.Cell] + 1)
+			if own, ok := wanted(v); ok {
+				x += (own - x) * math.Exp(-float64(s.now-v.reportAt)/float64(4*s.minAim))
+			}
+			room = min(v.memory-v.held, v.memory*(1-x)-v.sentSince)
+		}
+		return min(room, room/max(v.ratio, 1))
+	}
+}
+
+// toll is how much longer an answer takes to begin where its state has to leave
+// the reader's cell, less with the age of what is known of it.
+func (s *Scheduler) toll() float64 {
+	far := &s.pace[writingFar]
+	return max(far.Y-s.pace[writing].Y, 0) * math.Exp(-float64(s.now-far.Last)/float64(4*s.minAim))
+}
--- /dev/null
+++ b/health.go
@@ -0,0 +1,134 @@
+package ashwood
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// judge moves the health of a server and of the path to its zone: one where all
+// fails is left as a whole. Peers are the yardstick: shared trouble ejects nobody.
+func (s *Scheduler) judge(v *server, r *request, ok bool) {
+	v.sample(ok)
+	if v.Zone != s.set.Zone {
+		all := !slices.ContainsFunc(s.order, func(o *server) bool {
+			return o.listed && (o.Zone == v.Zone && o.fail < failLimit/2 || o.Zone == s.set.Zone && o.fail > failLimit)
+		})
+		v.path.sample(ok)
+		v.path.judge(s.now, r.ID, ok, !ok && all && v.path.fail > 2*failLimit)
+	}
+	peers, gone, fails, ratios := 0.0, 1.0, 0.0, []float64{}
+	for _, o := range s.order {
+		if o == v || !o.listed || o.role != v.role {
+			continue
+		}
+		peers++
+		fails += o.fail
+		ratios = append(ratios, o.ratio)
+		if o.ejected {
+			gone++
+		}
+	}
+	var bad bool
+	if peers > 0 && gone <= ejectShare*(peers+1) {
+		slices.Sort(ratios)
+		bad = ok && v.ratio > slowLimit*max(ratios[len(ratios)/2], 1) || !ok && v.fail > failLimit+fails/peers/2
+	}
+	if was := v.ejected; v.judge(s.now, r.ID, ok, bad) && was {
+		v.ratio = 1
+	}
+}
+
+// sample takes in one result.
+func (h *health) sample(ok bool) {
+	h.fail *= 1 - ewma
+	if !ok {
+		h.fail += ewma
+	}
+}
+
+// judge ejects on bad and tells whether all is well. What is ejected comes
+// back by a single trial, later each time that the trial fails.
+func (h *health) judge(now time.Duration, id RequestID, ok, bad bool) bool {
+	switch {
+	case h.ejected && h.trial != id:
+		return false
+	case h.ejected && ok:
+		h.ejected, h.fail = false, min(h.fail, failLimit*0.7)
+	case h.ejected || bad:
+		h.ejected = true
+		h.backoff = max(min(h.backoff*2, backoffMax), backoffFirst)
+		h.until = now + h.backoff
+	case h.fail < failLimit/4:
+		h.backoff = 0
+	}
+	return !h.ejected
+}
+
+func (h *health) due(now time.Duration) bool { return h.ejected && now >= h.until && h.trial == "" }
+
+// swamped tells of a reader that by its own word holds far more than its peers: it
+// hangs, or has been found by too many at once.
+func (s *Scheduler) swamped(v *server) bool {
+	told, n := s.mean(v.role, func(o *server) (float64, bool) {
+		return o.report[ReportInFlight], o != v && len(o.report) > 0
+	})
+	return s.set.Nodes > manyNodes && v.role == RoleRead && n > 0 && v.report[ReportInFlight]-told > countGap
+}
+
+// usable tells whether a request may go to a server at this moment.
+func (s *Scheduler) usable(r *request, v *server) bool {
+	return v.listed && !r.tried[v] && r.mayRunOn(v, s.now) && s.now >= v.shunUntil && s.coldRoom(v, r)
+}
+
+func (s *Scheduler) trusted(v *server) bool { return !v.ejected && !v.path.ejected }
+
+// cold tells whether a server may still be warming up.
+func (s *Scheduler) cold(v *server) bool {
+	return v.Started > 0 && s.now-v.Started < s.set.Rules.ColdTime
+}
+
+// coldRoom keeps rule 4: this node's part of what a cold server can take, from
+// what warm ones finish. Under one request a window it is one in so many
+// windows, the first at a time drawn by seed, so that the sum keeps to it.
+func (s *Scheduler) coldRoom(v *server, r *request) bool {
+	if !s.cold(v) || s.set.Rules.FallMultiple == 0 {
+		return true
+	}
+	if s.set.Nodes > manyNodes {
+		return v.turns >= 1
+	}
+	rules, cost := s.set.Rules, max(s.cost[r.class], 1)
+	each, _ := s.mean(v.role, func(o *server) (float64, bool) {
+		return o.done.Add(s.now, rules.FallWindow, 0), !s.cold(o)
+	})
+	budget, nodes := each*rules.FallWindow.Seconds()*rules.FallMultiple*rules.ColdFrom, float64(s.set.Nodes)
+	k := max(budget*nodes/cost, 1) // of all nodes; their draws may by chance fall together, by three deviations
+	part := min(coldMargin, 1-s.crowd+math.Pow(math.Sqrt(9+4*k)-3, 2)/4/k)
+	budget = max(budget*part, cost*max(1/nodes, math.Pow(1-s.crowd, 2))) // one at least; many nodes share it
+	span := time.Duration(float64(rules.FallWindow) * max(1, cost/budget))
+	sent := cost
+	for _, st := range v.sends {
+		if s.now-st.at < span {
+			sent += st.cost
+		}
+	}
+	return sent <= max(budget, cost) && s.now-v.since >= time.Duration(v.luck*float64(span-rules.FallWindow))
+}
+
+// takeTurns brings the turns at cold servers nearer with each request, where many
+// nodes share them: a turn is one send. Over the fleet a server gets so no more than
+// its equal share of the requests by what it can do while cold, whoever prefers it.
+func (s *Scheduler) takeTurns() {
+	share := s.set.Rules.FallMultiple * s.set.Rules.ColdFrom / usualLoad
+	// For writers, engines that are gone count too: of the listed alone was too much.
+	_, readers := s.mean(RoleRead, func(*server) (float64, bool) { return 0, true })
+	for _, v := range s.order {
+		if n := float64(len(s.order)) - readers; v.listed && s.cold(v) {
+			if v.role == RoleRead {
+				n = readers / readSpare
+			}
+			v.turns = min(v.turns+share/n, 2)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -9,7 +9,7 @@
 	"ashwood.example/ashwood/internal/trend"
 )
 
-// This file declares what a scheduler remembers. It decides nothing.
+// This file declares what a scheduler remembers, and hands events on. It decides nothing.
 
 // health is the trust in a server, or in the path to a zone.
 type health struct {
@@ -216,3 +216,49 @@
 		table: prefix.Table{MaxBlocks: maxBlocks, Expiry: blockExpiry},
 	}
 }
+
+func stageOf(write bool, from, to *server) stage {
+	switch {
+	case !write:
+		return reading
+	case from != nil && from.Cell != to.Cell:
+		return writingFar
+	}
+	return writing
+}
+
+// kind is what a throttle may tell requests apart by: a full server says so at
+// once, one that takes its time has room and refuses this kind alone.
+func (r *request) kind() [2]string { return [2]string{r.Class, r.Tenant} }
+
+func reads(r Role) bool { return r == RoleRead }
+
+func mixed(r Role) bool { return r == RoleBoth }
+
+func writes(r Role) bool { return r != RoleRead }
+
+// Handle takes in one event and appends the actions to out. Events come in
+// the order of their times; stray ones are ignored.
+func (s *Scheduler) Handle(now time.Duration, e Event, out []Action) []Action {
+	s.now, s.out = max(now, s.now), out
+	switch e := e.(type) {
+	case Members:
+		s.members(e)
+	case Request:
+		s.request(e)
+	case First:
+		s.first(e)
+	case PlaceNote:
+		s.placeNote(e)
+	case Outcome:
+		s.outcome(e)
+	case Gone:
+		s.gone(e)
+	case Timer:
+		s.timer(e)
+	case Probed:
+		s.probed(e)
+	}
+	out, s.out = s.out, nil
+	return out
+}
