--- /dev/null
+++ b/internal/figures/figures.go
@@ -0,0 +1,90 @@
+// Package figures counts what operators are shown: requests by how they ended, and
+// attempts. Adding is one atomic operation, so that nothing waits for a reader.
+package figures
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+)
+
+// End is how a request ended.
+type End int
+
+// The ends. A request whose client has left first has none of them.
+const (
+	Fulfilled End = iota // served: the answer has been passed on to its end
+	Throttled            // refused, by the module, a limit, a stop, or a front that has no room
+	Faulted              // failed: answered so, or its answer broke after it had begun
+	ends
+)
+
+// Set holds the counts of one router since its start, by class of requests. What is of no
+// known class is counted nowhere, nor is what never became a request (a framing or a field
+// that can't be read): it has no class that could be believed.
+type Set struct {
+	names   []string
+	classes map[string]*class
+}
+
+type class struct {
+	ended   [ends]atomic.Uint64
+	relayed atomic.Uint64
+}
+
+// New makes a set of counts, all zero, for these classes, which are shown in this order.
+func New(classes []string) *Set {
+	s := &Set{names: classes, classes: map[string]*class{}}
+	for _, name := range classes {
+		s.classes[name] = &class{}
+	}
+	return s
+}
+
+// Ended counts a request's one final answer, at the moment when it is given or, where
+// that is a stream, over.
+func (s *Set) Ended(name string, how End) {
+	if c := s.classes[name]; c != nil && how >= 0 && how < ends {
+		c.ended[how].Add(1)
+	}
+}
+
+// Relayed counts an attempt whose last byte has been written to an engine, whatever
+// comes of it. Probes, places and releases are none.
+func (s *Set) Relayed(name string) {
+	if c := s.classes[name]; c != nil {
+		c.relayed.Add(1)
+	}
+}
+
+// Gauges are figures of this moment.
+type Gauges struct {
+	Open    int // requests taken and not ended
+	Listed  int // engines in the list
+	Avoided int // of them, those that the decisions avoid now
+}
+
+// Statsd writes all figures in the form name:value|kind, one a line, names behind
+// prefix. Counts may be of slightly different moments; each only grows.
+func (s *Set) Statsd(w io.Writer, prefix string, g Gauges) error {
+	for _, name := range s.names {
+		c := s.classes[name]
+		for _, f := range []struct {
+			figure string
+			value  uint64
+		}{
+			{"fulfilled", c.ended[Fulfilled].Load()}, {"throttled", c.ended[Throttled].Load()},
+			{"faulted", c.ended[Faulted].Load()}, {"relayed", c.relayed.Load()},
+		} {
+			if _, err := fmt.Fprintf(w, "%s.%s.%s:%d|c\n", prefix, f.figure, name, f.value); err != nil {
+				return fmt.Errorf("figures: %w", err)
+			}
+		}
+	}
+	_, err := fmt.Fprintf(w, "%s.open_requests:%d|g\n%s.registry_entries:%d|g\n%s.out_of_rotation:%d|g\n",
+		prefix, g.Open, prefix, g.Listed, prefix, g.Avoided)
+	if err != nil {
+		return fmt.Errorf("figures: %w", err)
+	}
+	return nil
+}
