Open a door for operators and count what they are shown

Change: mgmt and ROUTER_MGMT, checked like the other addresses; internal/door (one line a connection, bounded in time, bytes and callers); internal/figures, atomic counts by class, fed at the gateway (attempts whose last byte is written) and the router (each final answer, once). out_of_rotation is asked of the module. Lists: an engine gone from a whole list counts as off. The module can be told how many processes share a node's part of a cold engine's budget (used next).

--- a/cmd/ashwood/main.go
+++ b/cmd/ashwood/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math"
 	"net"
@@ -14,6 +15,7 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -67,6 +69,21 @@
 	defer stop()
 
 	c := clock.System()
+	var now phase
+	now.set(starting)
+	var serves atomic.Pointer[front] // the platform's
+	mgmt, err := openDoor(cfg.Mgmt, &now, func() string {
+		if f := serves.Load(); f != nil {
+			return figuresReply(*f)
+		}
+		return "NO " + *now.Load() + "\n"
+	}, log)
+	if err != nil {
+		return err
+	}
+	if mgmt != nil {
+		defer mgmt.Close()
+	}
 	fronts := make([]front, 0, 2)
 	addrs := []any{"name", cfg.Name}
 	if op.GRPC != nil {
@@ -81,7 +98,9 @@
 		return err
 	}
 	fronts = append(fronts, f)
+	serves.Store(&f)
 
+	now.set(serving)
 	ended := make(chan error, len(fronts))
 	for _, f := range fronts {
 		go func() { ended <- f.serve() }()
@@ -99,6 +118,7 @@
 		case <-term.Done():
 		}
 	}
+	now.set(stopping)
 	for _, f := range fronts {
 		f.drain()
 	}
@@ -133,6 +153,7 @@
 	drain    func()       // clients are to go elsewhere
 	shutdown func() error // take nothing more, finish what was taken
 	reload   func(config.Config)
+	vars     func(io.Writer) error // its figures
 }
 
 // openPlatform sets up the platform's protocol.
@@ -164,7 +185,7 @@
 			err := s.Shutdown(context.Background())
 			return errors.Join(err, r.Shutdown(context.Background()))
 		},
-		reload: func(cfg config.Config) { d.Move(cfg.Discovery) },
+		reload: func(cfg config.Config) { d.Move(cfg.Discovery) }, vars: r.Vars,
 	}, nil
 }
 
@@ -197,5 +218,6 @@
 			return r.Shutdown(context.Background())
 		},
 		reload: func(config.Config) {}, // its boxes have a list of their own
+		vars:   r.Vars,
 	}, nil
 }
--- a/cmd/ashwood/main_test.go
+++ b/cmd/ashwood/main_test.go
@@ -72,7 +72,7 @@
 }
 
 // serving is what the program logs once it listens; it takes free ports itself.
-var serving = regexp.MustCompile(`msg=serving name=n (?:grpc=(\S+) )?listen=(\S+)`)
+var servingLine = regexp.MustCompile(`msg=serving name=n (?:grpc=(\S+) )?listen=(\S+)`)
 
 // start runs the program until it serves, and tells where.
 func start(t *testing.T, config, operator string) (cmd *exec.Cmd, listen, front string) {
@@ -98,7 +98,7 @@
 	t.Cleanup(func() { cmd.Process.Kill() })
 	lines := bufio.NewScanner(out)
 	for lines.Scan() {
-		if m := serving.FindStringSubmatch(lines.Text()); m != nil {
+		if m := servingLine.FindStringSubmatch(lines.Text()); m != nil {
 			go io.Copy(log, out)
 			return cmd, m[2], m[1]
 		}
--- a/facade.go
+++ b/facade.go
@@ -113,6 +113,31 @@
 	return v != nil && v.listed
 }
 
+// Share says how many processes, this one among them, count as one node to the rules:
+// each keeps to its part of what cold servers may be sent.
+func (t *Router) Share(processes int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sched.copies = float64(max(processes, 1))
+}
+
+// Engines counts the servers in the list, draining ones too, and those of them that the
+// decisions avoid at this moment.
+func (t *Router) Engines() (listed, avoided int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sched.now = max(t.sched.now, t.now())
+	for _, v := range t.sched.order {
+		if v.State != StateOff {
+			listed++
+		}
+		if t.sched.avoided(v) {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
+
 // Pause is the ms for which a refused client is told to stay away; 0 = no advice.
 func (t *Router) Pause() float64 { return millis(t.sched.pause()) }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/internal/clock"
+	"ashwood.example/ashwood/internal/figures"
 )
 
 // Times of the calls around an attempt, in milliseconds.
@@ -33,11 +34,17 @@
 	holdTime  float64        // ms in which what is held must be taken; 0 = not told
 	beside    sync.WaitGroup // what runs beside requests: places, releases, probes
 	owner     *owner         // of what is held and wanted no more
+	figures   *figures.Set
 }
 
 // New makes a gateway. Run must be running for it to serve.
 func New(set ashwood.Settings, seed int64, transport Transport, c Clock, log *slog.Logger) (*Gateway, error) {
 	g := &Gateway{transport: transport, clock: c, log: log, holdTime: clock.Millis(set.Rules.Release)}
+	names := make([]string, len(set.Classes))
+	for i, class := range set.Classes {
+		names[i] = class.Name
+	}
+	g.figures = figures.New(names)
 	g.owner = newOwner(g, set, seed)
 	var err error
 	g.router, err = ashwood.NewRouter(set, seed, c, func(v ashwood.Server) { g.spawn(func() { g.probe(v) }) })
@@ -85,6 +92,23 @@
 	}
 }
 
+// Figures are this gateway's counts. Attempts are counted here, the ends of requests by
+// who gives the answers.
+func (g *Gateway) Figures() *figures.Set { return g.figures }
+
+// Engines counts the engines in the list and those avoided now; see ashwood.Router.
+func (g *Gateway) Engines() (listed, avoided int) { return g.router.Engines() }
+
+// Share says how many processes count as this one gateway; see ashwood.Router.
+func (g *Gateway) Share(processes int) { g.router.Share(processes) }
+
+// TurnAway tells of a request that a front refuses by itself for want of room, and gives
+// how long its client is to stay away, as Pause does.
+func (g *Gateway) TurnAway(class string) float64 {
+	g.figures.Ended(class, figures.Throttled)
+	return g.Pause()
+}
+
 // Pause is how long in ms a client is to stay away that a front must refuse by
 // itself, for want of room; 0 = no advice.
 func (g *Gateway) Pause() float64 { return g.router.Pause() }
@@ -154,6 +178,7 @@
 		Ready: func() bool { return actx.Err() == nil && g.router.Accepts(step.Engine.ID) },
 		Sent: func() {
 			h.sent(step.Engine)
+			g.figures.Relayed(req.Class)
 			if step.Place.ID != "" {
 				g.spawn(func() { g.reserve(actx, step, h) })
 			}
--- a/health.go
+++ b/health.go
@@ -83,6 +83,12 @@
 
 func (s *Scheduler) trusted(v *server) bool { return !v.ejected && !v.path.ejected }
 
+// avoided tells of a server in the list that the ordinary path leaves out at this moment: it
+// drains, is ejected or its zone is, or it turned something away of late.
+func (s *Scheduler) avoided(v *server) bool {
+	return v.State != StateOff && (!v.listed || !s.trusted(v) || s.now < v.shunUntil)
+}
+
 // cold tells whether a server may still be warming up.
 func (s *Scheduler) cold(v *server) bool {
 	return v.Started > 0 && s.now-v.Started < s.set.Rules.ColdTime
@@ -105,7 +111,7 @@
 	budget, nodes := each*rules.FallWindow.Seconds()*rules.FallMultiple*rules.ColdFrom, float64(s.set.Nodes)
 	k := max(budget*nodes/cost, 1) // of all nodes; their draws may by chance fall together, by three deviations
 	part := min(coldMargin, 1-s.crowd+math.Pow(math.Sqrt(9+4*k)-3, 2)/4/k)
-	budget = max(budget*part, cost*max(1/nodes, math.Pow(1-s.crowd, 2))) // one at least; many nodes share it
+	budget = max(budget*part, cost*max(1/nodes, math.Pow(1-s.crowd, 2))) / s.copies // one at least; many nodes share it
 	span := time.Duration(float64(rules.FallWindow) * max(1, cost/budget))
 	sent := cost
 	for _, st := range v.sends {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,6 +35,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Mgmt      string // operators' door; none = off
 	Seed      int64
 	Limits    Limits
 	Known     wire.Targets // the list as this gateway last had it
@@ -42,7 +43,7 @@
 }
 
 // Load reads the platform's configuration: the file that ROUTER_CONFIG names,
-// with ROUTER_NAME, ROUTER_LISTEN and ROUTER_DISCOVERY for what it leaves out.
+// with ROUTER_NAME, ROUTER_LISTEN, ROUTER_DISCOVERY and ROUTER_MGMT for what it leaves out.
 func Load(getenv func(string) string) (Config, error) {
 	path := getenv("ROUTER_CONFIG")
 	if path == "" {
@@ -60,6 +61,7 @@
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
 		Discovery string `json:"discovery"`
+		Mgmt      string `json:"mgmt"`
 		Seed      string `json:"seed"`
 		Limits    struct {
 			Cores    *float64 `json:"cores"`
@@ -76,13 +78,13 @@
 		}
 		return Config{}, fmt.Errorf("config: %w", err)
 	}
-	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery}
+	c := Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Mgmt: in.Mgmt}
 	for _, f := range []struct {
 		key, env string
 		value    *string
 	}{
 		{"name", "ROUTER_NAME", &c.Name}, {"listen", "ROUTER_LISTEN", &c.Listen},
-		{"discovery", "ROUTER_DISCOVERY", &c.Discovery},
+		{"discovery", "ROUTER_DISCOVERY", &c.Discovery}, {"mgmt", "ROUTER_MGMT", &c.Mgmt},
 	} {
 		if *f.value == "" {
 			*f.value = getenv(f.env)
@@ -94,6 +96,11 @@
 	if err := errors.Join(address("listen", c.Listen), address("discovery", c.Discovery)); err != nil {
 		return Config{}, err
 	}
+	if c.Mgmt != "" {
+		if err := address("mgmt", c.Mgmt); err != nil {
+			return Config{}, err
+		}
+	}
 	if in.Seed != "" {
 		seed, err := strconv.ParseUint(in.Seed, 16, 64)
 		if err != nil {
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -22,7 +22,7 @@
 // Bounds of what a caller may do.
 const (
 	maxLine   = 128             // bytes, with the line's end
-	lineWait  = 2 * time.Second // for the line
+	lineWait  = 2 * time.Second // for the line, from the connection's begin
 	replyWait = time.Second     // for the reply to be taken
 	maxCalls  = 16              // at once; for one more, the one that has waited longest is closed
 )
@@ -34,6 +34,7 @@
 type Door struct {
 	log   *slog.Logger
 	calls map[string]Call
+	wait  time.Duration // for a line
 
 	mu      sync.Mutex
 	l       net.Listener
@@ -43,7 +44,9 @@
 }
 
 // New makes a door for these calls.
-func New(log *slog.Logger, calls map[string]Call) *Door { return &Door{log: log, calls: calls} }
+func New(log *slog.Logger, calls map[string]Call) *Door {
+	return &Door{log: log, calls: calls, wait: lineWait}
+}
 
 // Serve answers on a listener until Close. A caller that fails to be accepted, for want of
 // a descriptor say, is waited for: the door stays.
@@ -103,7 +106,7 @@
 		d.mu.Unlock()
 		c.Close()
 	}()
-	c.SetReadDeadline(time.Now().Add(lineWait))
+	c.SetReadDeadline(time.Now().Add(d.wait))
 	line, err := readLine(c)
 	if err != nil && line == "" && errors.Is(err, io.EOF) {
 		return // it has left without a word
--- a/internal/platform/engines.go
+++ b/internal/platform/engines.go
@@ -73,6 +73,9 @@
 // Log has new connections logged, at level debug. It is to be called before the first request.
 func (e *Engines) Log(log *slog.Logger) { e.pool.log = log }
 
+// Share says how many processes share the connections that the limit allows.
+func (e *Engines) Share(processes int) { e.pool.share(processes) }
+
 // sweep closes what has been idle too long, now and every so often.
 func (e *Engines) sweep() {
 	e.pool.sweep()
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -31,10 +31,11 @@
 type pool struct {
 	clock   clock.Clock
 	maxIdle float64 // ms after which an idle connection is closed, well before the engine does
-	max     int     // connections open at once
+	most    int     // connections open at once, for one process alone
 	log     *slog.Logger
 
 	mu    sync.Mutex
+	max   int                // the same for this one of several
 	wait  trend.Patience     // for a connection
 	learn bool               // whether that is shortened by how long they take
 	idle  map[string][]*conn // by address, the latest used last
@@ -63,7 +64,7 @@
 const spareShare = 1.0 / 16
 
 func newPool(c clock.Clock, connect, maxIdle float64, limit int) *pool {
-	return &pool{clock: c, wait: trend.Patience{Most: connect}, maxIdle: maxIdle, max: limit, idle: map[string][]*conn{}, log: slog.New(slog.DiscardHandler)}
+	return &pool{clock: c, wait: trend.Patience{Most: connect}, maxIdle: maxIdle, most: limit, max: limit, idle: map[string][]*conn{}, log: slog.New(slog.DiscardHandler)}
 }
 
 // get gives an idle connection that the engine has not closed, or a new one.
@@ -134,7 +135,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.idle = p.clock.Now(); c.idle < p.doubt || p.over {
+	if c.idle = p.clock.Now(); c.idle < p.doubt || p.over || p.open > p.max {
 		c.Close()
 		p.open--
 		return
@@ -190,6 +191,16 @@
 	clear(p.idle)
 }
 
+// share leaves this process its part of the connections. Those beyond it that are in use
+// are closed when they are put back.
+func (p *pool) share(processes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.max = max(p.most/max(processes, 1), 1)
+	for p.open > p.max && p.dropOldest() {
+	}
+}
+
 // sweep closes what has been idle too long.
 func (p *pool) sweep() {
 	p.mu.Lock()
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -34,7 +34,9 @@
 // Handler takes requests to their answers, as a gateway or a router does.
 type Handler interface {
 	Serve(ctx context.Context, req *gateway.Request) (gateway.Reply, error)
-	Pause() float64 // ms that a client is to stay away that must be refused before; 0 = no advice
+	// TurnAway tells of a request of a class that is refused before, for want of room, and
+	// gives the ms that its client is to stay away; 0 = no advice.
+	TurnAway(class string) float64
 }
 
 // Server takes clients' requests.
@@ -141,7 +143,7 @@
 		}
 	}()
 	if !room {
-		refuse(ctx, gw.Pause())
+		refuse(ctx, gw.TurnAway(req.Class))
 		return
 	}
 	reply, err := gw.Serve(client, req)
--- a/router/router.go
+++ b/router/router.go
@@ -11,12 +11,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math"
 	"sync"
 
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/gateway"
+	"ashwood.example/ashwood/internal/figures"
 	"ashwood.example/ashwood/lifecycle"
 	"ashwood.example/ashwood/limits"
 )
@@ -182,6 +184,24 @@
 	return r.life.Phase()
 }
 
+// Vars writes the router's counts since its start and its gauges, one name:value|kind a
+// line, for operators; see the package figures for what counts when.
+func (r *Router) Vars(w io.Writer) error {
+	listed, avoided := r.gw.Engines()
+	return r.gw.Figures().Statsd(w, varsPrefix, figures.Gauges{Open: r.InFlight(), Listed: listed, Avoided: avoided})
+}
+
+const varsPrefix = "app" // of the names, as the operators' page has them
+
+// Share says how many processes, this one among them, count as one gateway to the rules
+// while one takes the other's place. Connections are shared out by the transport's own limit.
+func (r *Router) Share(processes int) {
+	r.gw.Share(processes)
+	if t, ok := r.transport.(interface{ Share(int) }); ok {
+		t.Share(processes)
+	}
+}
+
 // InFlight is the number of requests in the house.
 func (r *Router) InFlight() int {
 	r.mu.Lock()
@@ -193,10 +213,25 @@
 // itself; 0 = no advice.
 func (r *Router) Pause() float64 { return r.gw.Pause() }
 
+// TurnAway tells of a request that a front refuses by itself for want of room, and gives
+// how long in ms its client is to stay away, as Pause does.
+func (r *Router) TurnAway(class string) float64 { return r.gw.TurnAway(class) }
+
 // Serve takes a request to its final answer, or to the beginning of one, for
 // fronts: a request at the door that is turned away is refused like any other.
 // When ctx ends, the client has left. A served reply's stream is to be closed.
 func (r *Router) Serve(ctx context.Context, req *gateway.Request) (gateway.Reply, error) {
+	reply, err := r.serve(ctx, req)
+	switch {
+	case err != nil || reply.Kind == gateway.Failed:
+		r.gw.Figures().Ended(req.Class, figures.Faulted)
+	case reply.Kind == gateway.Refused:
+		r.gw.Figures().Ended(req.Class, figures.Throttled)
+	}
+	return reply, err
+}
+
+func (r *Router) serve(ctx context.Context, req *gateway.Request) (gateway.Reply, error) {
 	id, v, err := r.enter(req)
 	var refusal *limits.Refusal
 	switch {
@@ -216,11 +251,12 @@
 		r.mu.Lock()
 		begun := r.life.Began(id)
 		r.mu.Unlock()
-		s := &stream{Stream: reply.Stream, ctx: vctx, leave: func() { r.leave(id) }}
+		s := &stream{Stream: reply.Stream, ctx: vctx, leave: func() { r.leave(id) }, ended: func(how figures.End) { r.gw.Figures().Ended(req.Class, how) }}
 		if begun {
 			reply.Stream = s
 			return reply, nil
 		}
+		s.over = true // it is counted as failed
 		s.Close()
 		return gateway.Reply{Kind: gateway.Failed, Err: ErrShuttingDown}, nil
 	}
@@ -279,12 +315,18 @@
 	gateway.Stream
 	ctx   context.Context
 	leave func()
+	ended func(figures.End) // counts it
+	whole bool              // its last piece has been passed on
+	left  bool              // its client has
+	over  bool              // it has been counted
 }
 
 // Next gives the next piece. Of an answer that the stop has ended, the error is
 // ErrShuttingDown.
 func (s *stream) Next() ([]byte, error) {
 	piece, err := s.Stream.Next()
+	s.whole = s.whole || errors.Is(err, io.EOF)
+	s.left = s.left || errors.Is(err, gateway.ErrClientGone)
 	if err != nil && errors.Is(context.Cause(s.ctx), ErrShuttingDown) {
 		err = ErrShuttingDown
 	}
@@ -294,5 +336,13 @@
 // Close ends the answer.
 func (s *stream) Close() error {
 	defer s.leave()
+	switch {
+	case s.over || s.left: // whose client has left is counted nowhere
+	case s.whole:
+		s.ended(figures.Fulfilled)
+	default:
+		s.ended(figures.Faulted)
+	}
+	s.over = true
 	return s.Stream.Close()
 }
--- a/scheduler.go
+++ b/scheduler.go
@@ -79,7 +79,7 @@
 	}
 	if e.Form == ListWhole || e.Form == ListStale {
 		for _, v := range s.order {
-			v.listed = false
+			v.listed, v.State = false, StateOff
 		}
 	}
 	for _, entry := range e.Entries {
--- a/state.go
+++ b/state.go
@@ -125,6 +125,7 @@
 	reqs     map[RequestID]*request
 	timers   map[uint64]timer
 	next     uint64
+	copies   float64 // processes that count as this one node
 	table    prefix.Table
 	pace     [stages]trend.Line
 	cost     map[*Class]float64
@@ -213,7 +214,7 @@
 		servers: map[ServerID]*server{}, zones: map[string]*health{}, reqs: map[RequestID]*request{},
 		timers: map[uint64]timer{}, cost: map[*Class]float64{},
 		asked: map[string]*trend.Rate{}, haste: map[string]float64{},
-		table: prefix.Table{MaxBlocks: maxBlocks, Expiry: blockExpiry},
+		copies: 1, table: prefix.Table{MaxBlocks: maxBlocks, Expiry: blockExpiry},
 	}
 }
 
