Let a new process take an old one's place on the same address, counted as one gateway

Change: both listen with SO_REUSEPORT; the new process attaches a program to the group that sends new connections to the newest listener. internal/handover: locked files in a folder of TMPDIR tell who lives and how far each has come; while there are several, descriptors, memory and the cold budget are shared out. The older one's answers close their connections once a newer one serves, and it takes all back if that one dies. A new one says yes when the others have noted it. Found on the way: Go listens with MPTCP by default, where the kernel refuses the program ('operation not supported').

--- a/cmd/ashwood/main.go
+++ b/cmd/ashwood/main.go
@@ -24,6 +24,7 @@
 	"ashwood.example/ashwood/internal/clock"
 	"ashwood.example/ashwood/internal/config"
 	"ashwood.example/ashwood/internal/grpcfront"
+	"ashwood.example/ashwood/internal/handover"
 	"ashwood.example/ashwood/internal/platform"
 	"ashwood.example/ashwood/limits"
 	"ashwood.example/ashwood/router"
@@ -61,7 +62,6 @@
 	log := op.Log.Logger(os.Stderr)
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	debug.SetGCPercent(heapGrowth)
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * memoryShare * (1 << 20)))
 	hup := make(chan os.Signal, 1) // the default would end the program
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
@@ -84,6 +84,8 @@
 	if mgmt != nil {
 		defer mgmt.Close()
 	}
+	others := joinVersions(os.Getenv("TMPDIR"), cfg.Listen, int64(cfg.Limits.MemoryMB*memoryShare*(1<<20)), c, log)
+	defer others.leave()
 	fronts := make([]front, 0, 2)
 	addrs := []any{"name", cfg.Name}
 	if op.GRPC != nil {
@@ -93,14 +95,14 @@
 		}
 		fronts = append(fronts, f)
 	}
-	f, err := openPlatform(cfg, op.Limits, c, log)
+	f, err := openPlatform(term, cfg, op.Limits, others, c, log)
 	if err != nil {
 		return err
 	}
 	fronts = append(fronts, f)
 	serves.Store(&f)
 
-	now.set(serving)
+	others.follow(fronts)
 	ended := make(chan error, len(fronts))
 	for _, f := range fronts {
 		go func() { ended <- f.serve() }()
@@ -108,6 +110,8 @@
 	for _, f := range fronts {
 		addrs = append(addrs, f.name, f.addr)
 	}
+	others.tell(handover.Serving)
+	now.set(serving)
 	log.Info("serving", addrs...)
 	for term.Err() == nil {
 		select {
@@ -119,6 +123,7 @@
 		}
 	}
 	now.set(stopping)
+	others.tell(handover.Leaving)
 	for _, f := range fronts {
 		f.drain()
 	}
@@ -154,10 +159,12 @@
 	shutdown func() error // take nothing more, finish what was taken
 	reload   func(config.Config)
 	vars     func(io.Writer) error // its figures
+	share    func(processes int)   // keep to one's part of what the machine allows
+	yield    func(bool)            // while a newer process serves, clients are to go there
 }
 
 // openPlatform sets up the platform's protocol.
-func openPlatform(cfg config.Config, limit limits.Config, c clock.Clock, log *slog.Logger) (front, error) {
+func openPlatform(ctx context.Context, cfg config.Config, limit limits.Config, others *versions, c clock.Clock, log *slog.Logger) (front, error) {
 	sockets := float64(cfg.Limits.Sockets)
 	opts := []router.Option{router.WithClock(c), router.WithLogger(log)}
 	d := router.NewPlatform(cfg.Discovery, opts...)
@@ -166,18 +173,25 @@
 	if len(known) > 0 {
 		d.Known(cfg.Known.Generation)
 	}
+	source := &heard{Source: d, first: make(chan struct{})}
 	r, err := router.New(router.Config{Settings: cfg.Settings, Seed: cfg.Seed, Known: known, Limits: limit},
-		append(opts, router.WithSource(d), router.WithTransport(router.HTTPEngines(int(sockets*engineShare))))...)
+		append(opts, router.WithSource(source), router.WithTransport(router.HTTPEngines(int(sockets*engineShare))))...)
 	if err != nil {
 		return front{}, err
 	}
-	l, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return front{}, fmt.Errorf("listen: %w", err)
-	}
 	if err := r.Start(); err != nil {
 		return front{}, err
 	}
+	others.await(ctx, source.first)
+	l, err := handover.Listen(cfg.Listen)
+	if err != nil {
+		return front{}, errors.Join(err, r.Close())
+	}
+	if !others.alone() {
+		if err := handover.Steer(l, others.plan.Processes); err != nil {
+			log.Warn("upgrade: the older process goes on getting new connections", "err", err)
+		}
+	}
 	s := platform.NewServer(r, log, int(sockets*clientShare))
 	return front{
 		name: "listen", addr: l.Addr(), serve: func() error { return s.Serve(l) }, drain: s.Drain,
@@ -186,6 +200,11 @@
 			return errors.Join(err, r.Shutdown(context.Background()))
 		},
 		reload: func(cfg config.Config) { d.Move(cfg.Discovery) }, vars: r.Vars,
+		share: func(processes int) {
+			r.Share(processes)
+			s.Share(processes)
+		},
+		yield: s.Yield,
 	}, nil
 }
 
@@ -202,9 +221,9 @@
 	if err != nil {
 		return front{}, err
 	}
-	l, err := net.Listen("tcp", op.Listen)
+	l, err := handover.Listen(op.Listen)
 	if err != nil {
-		return front{}, fmt.Errorf("grpc.listen: %w", err)
+		return front{}, fmt.Errorf("grpc: %w", err)
 	}
 	l = netutil.LimitListener(l, int(float64(cfg.Limits.Sockets)*grpcShare))
 	if err := r.Start(); err != nil {
@@ -218,6 +237,6 @@
 			return r.Shutdown(context.Background())
 		},
 		reload: func(config.Config) {}, // its boxes have a list of their own
-		vars:   r.Vars,
+		vars:   r.Vars, share: r.Share, yield: func(bool) {},
 	}, nil
 }
--- /dev/null
+++ b/internal/handover/plan.go
@@ -0,0 +1,28 @@
+package handover
+
+import "slices"
+
+// Plan is what a process does by the members that live.
+type Plan struct {
+	Processes int  // that share the gateway's part, this one among them
+	Yield     bool // a newer one takes clients: this one sends its own there
+}
+
+// Decide gives a process's plan. Members are as Group.Members gives them, oldest first. A
+// process that starts counts from its first sign, before it takes any client, and one that
+// leaves until it is gone.
+func Decide(self string, members []Member) Plan {
+	p := Plan{Processes: max(len(members), 1)}
+	at := slices.IndexFunc(members, func(m Member) bool { return m.Name == self })
+	for _, m := range members[at+1:] {
+		p.Yield = p.Yield || m.State == Serving
+	}
+	return p
+}
+
+// Noted tells whether all others have taken note of a process.
+func Noted(self string, members []Member) bool {
+	return !slices.ContainsFunc(members, func(m Member) bool {
+		return m.Name != self && !slices.Contains(m.Sees, self)
+	})
+}
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -12,7 +12,11 @@
 const writeWait = 10 * time.Second
 
 // Listener wraps one so that its connections tell when their client leaves.
-func Listener(l net.Listener) net.Listener { return &listener{Listener: l} }
+func Listener(l net.Listener) net.Listener { return newListener(l, 0) }
+
+func newListener(l net.Listener, limit int) *listener {
+	return &listener{Listener: l, most: limit, limit: limit}
+}
 
 // listener holds at most limit connections open, without a limit where that is
 // 0. For a new one beyond, it closes the one that has waited longest without a
@@ -20,9 +24,10 @@
 // hundreds and say nothing, and those that do ask must still get in.
 type listener struct {
 	net.Listener
-	limit int
+	most int // for one process alone
 
 	mu      sync.Mutex
+	limit   int // for this one of several
 	open    int
 	waiting list.List // of *clientConn without an open request, longest first
 }
@@ -49,6 +54,28 @@
 	return c, nil
 }
 
+// share leaves this process its part of the connections; those beyond it that have no
+// request are closed.
+func (l *listener) share(processes int) {
+	if l.most == 0 {
+		return
+	}
+	var over []*clientConn
+	l.mu.Lock()
+	l.limit = max(l.most/max(processes, 1), 1)
+	for l.open > l.limit {
+		old := l.oldest()
+		if old == nil {
+			break
+		}
+		over = append(over, old)
+	}
+	l.mu.Unlock()
+	for _, c := range over {
+		c.Close()
+	}
+}
+
 // oldest gives the connection to close for a new one, nil where there is room.
 func (l *listener) oldest() *clientConn {
 	if l.limit == 0 || l.open < l.limit {
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -44,14 +44,15 @@
 	gw       Handler
 	log      *slog.Logger
 	http     *fasthttp.Server
-	limit    int
-	draining atomic.Bool
+	in       *listener
+	draining atomic.Bool // for good
+	yielding atomic.Bool // while a newer process serves
 }
 
 // NewServer makes a server for at most limit connections at once. Beyond
 // that, its listener closes connections; fasthttp counts these a little longer.
 func NewServer(gw Handler, log *slog.Logger, limit int) *Server {
-	s := &Server{gw: gw, log: log, limit: limit}
+	s := &Server{gw: gw, log: log, in: newListener(nil, limit)}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.malformed, Concurrency: 2 * limit, MaxRequestBodySize: maxBody,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true,
@@ -67,12 +68,20 @@
 
 // Serve answers on a listener until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	return s.http.Serve(&listener{Listener: l, limit: s.limit})
+	s.in.Listener = l
+	return s.http.Serve(s.in)
 }
 
 // Drain has each answer close its connection, so that clients go elsewhere.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Yield has each answer close its connection, as Drain does, for as long as a newer
+// process takes clients on the same address.
+func (s *Server) Yield(on bool) { s.yielding.Store(on) }
+
+// Share says how many processes share the connections that the limit allows.
+func (s *Server) Share(processes int) { s.in.share(processes) }
+
 // Shutdown takes nothing more and waits for what it has taken.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
 
@@ -104,7 +113,7 @@
 	} else {
 		Answer(ctx, s.gw, frontName)
 	}
-	if s.draining.Load() {
+	if s.draining.Load() || s.yielding.Load() {
 		ctx.SetConnectionClose()
 	}
 }
--- a/internal/platform/server_test.go
+++ b/internal/platform/server_test.go
@@ -100,7 +100,7 @@
 	io.WriteString(busy, request("order", "", "{}"))
 	<-writing
 	silent := dial(t, addr)
-	for range s.limit {
+	for range s.in.most {
 		dial(t, addr)
 	}
 	if _, err := silent.Read(make([]byte, 1)); err == nil {
