Hand begun answers over to the newer process, and end what has none before SIGKILL

Excluded: connections turned back (0), the new process's first list (it is told at once), descriptors (144 of 768). Change: between two pieces of an answer the old process sends both connections, with what was read ahead of them, over a Unix socket in its folder (SCM_RIGHTS); the new one goes on with both and then keeps the client's connection. A message that the kernel has taken is the new one's, so that never two write. After the longest deadline, 3 s at most, what has no answer is ended and let go of.

--- a/cmd/ashwood/main.go
+++ b/cmd/ashwood/main.go
@@ -102,6 +102,7 @@
 	fronts = append(fronts, f)
 	serves.Store(&f)
 
+	defer others.receive(f)()
 	others.follow(fronts)
 	ended := make(chan error, len(fronts))
 	for _, f := range fronts {
@@ -127,6 +128,7 @@
 	for _, f := range fronts {
 		f.drain()
 	}
+	defer others.bequeath(fronts, lastWait(cfg.Settings))()
 	time.Sleep(drainTime)
 	errs := make([]error, len(fronts))
 	var all sync.WaitGroup
@@ -161,6 +163,9 @@
 	vars     func(io.Writer) error // its figures
 	share    func(processes int)   // keep to one's part of what the machine allows
 	yield    func(bool)            // while a newer process serves, clients are to go there
+	give     func(platform.Give)   // hand begun answers to another process
+	take     func([]byte, net.Conn, net.Conn) error
+	end      func() // end what waits for its answer to begin
 }
 
 // openPlatform sets up the platform's protocol.
@@ -204,7 +209,7 @@
 			r.Share(processes)
 			s.Share(processes)
 		},
-		yield: s.Yield,
+		yield: s.Yield, give: s.Give, take: s.Adopt, end: r.EndWaiting,
 	}, nil
 }
 
@@ -237,6 +242,6 @@
 			return r.Shutdown(context.Background())
 		},
 		reload: func(config.Config) {}, // its boxes have a list of their own
-		vars:   r.Vars, share: r.Share, yield: func(bool) {},
+		vars:   r.Vars, share: r.Share, yield: func(bool) {}, give: func(platform.Give) {}, end: r.EndWaiting,
 	}, nil
 }
--- a/cmd/ashwood/versions.go
+++ b/cmd/ashwood/versions.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"os"
 	"runtime/debug"
 	"sync"
+	"syscall"
 
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/internal/clock"
@@ -132,6 +134,64 @@
 	}
 }
 
+// receive has older processes hand their begun answers to a front, until the returned
+// function is called.
+func (v *versions) receive(f front) (stop func()) {
+	if v.group == nil {
+		return func() {}
+	}
+	stop, err := v.group.Receive(func(message []byte, conns []net.Conn) {
+		if err := f.take(message, conns[0], conns[1]); err != nil {
+			v.log.Error("upgrade: an answer is lost", "err", err)
+		}
+	})
+	if err != nil {
+		v.log.Warn("upgrade: older processes can't hand their answers over", "err", err)
+		return func() {}
+	}
+	return stop
+}
+
+// bequeath has a newer process that serves, if there is one, go on with the answers that
+// have begun or will; after so many ms what has not begun is ended, so that nothing stays
+// held for it when this process is killed. The returned function calls that off.
+func (v *versions) bequeath(fronts []front, wait float64) (stop func() bool) {
+	if v.group == nil {
+		return func() bool { return true }
+	}
+	members, _ := v.group.Members()
+	heir, ok := handover.Heir(v.group.Self().Name, members)
+	if !ok {
+		return func() bool { return true }
+	}
+	v.log.Info("upgrade: a newer process goes on with what has begun", "name", heir)
+	for _, f := range fronts {
+		f.give(func(message []byte, client, engine syscall.Conn) error {
+			err := v.group.Send(heir, message, client, engine)
+			if err != nil {
+				v.log.Warn("upgrade: an answer stays here", "err", err)
+			}
+			return err
+		})
+	}
+	return v.clock.AfterFunc(wait, func() {
+		for _, f := range fronts {
+			f.end()
+		}
+	})
+}
+
+// lastWait is how many ms after SIGTERM what has no answer yet is ended: the platform
+// leaves a process the longest deadline, counted as 3 s where it is longer, and 0.7 s more,
+// in which what is held is let go of.
+func lastWait(set ashwood.Settings) float64 {
+	longest := 0.0
+	for _, c := range set.Classes {
+		longest = max(longest, clock.Millis(c.Deadline))
+	}
+	return min(longest, 3000)
+}
+
 // leave ends it.
 func (v *versions) leave() {
 	v.cancel()
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"net/netip"
 	"strconv"
+	"syscall"
 
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/internal/clock"
@@ -95,6 +96,23 @@
 	Close() error
 }
 
+// Movable is a stream that another process of the same gateway can go on with.
+type Movable interface {
+	// Move hands give what the stream is made of, between two calls of Next. After nil the
+	// stream is over here without having ended; with an error it goes on.
+	Move(give func(Live) error) error
+}
+
+// Live is a begun answer as one process hands it to another.
+type Live struct {
+	ID     ashwood.RequestID
+	Class  string
+	Engine ashwood.Server
+	Begun  float64      // ms, when the request was taken
+	Wire   any          // where the transport stands in it
+	Conn   syscall.Conn // the engine's connection
+}
+
 // Attempt is one sending of a request to an engine.
 type Attempt struct {
 	*Request
--- a/internal/handover/plan.go
+++ b/internal/handover/plan.go
@@ -20,6 +20,17 @@
 	return p
 }
 
+// Heir is the newest process that serves, if one newer than this does.
+func Heir(self string, members []Member) (name string, ok bool) {
+	at := slices.IndexFunc(members, func(m Member) bool { return m.Name == self })
+	for _, m := range members[at+1:] {
+		if m.State == Serving {
+			name, ok = m.Name, true
+		}
+	}
+	return name, ok
+}
+
 // Noted tells whether all others have taken note of a process.
 func Noted(self string, members []Member) bool {
 	return !slices.ContainsFunc(members, func(m Member) bool {
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -24,7 +24,8 @@
 // hundreds and say nothing, and those that do ask must still get in.
 type listener struct {
 	net.Listener
-	most int // for one process alone
+	most int                  // for one process alone
+	give atomic.Pointer[Give] // to another process; nil = answers end here
 
 	mu      sync.Mutex
 	limit   int // for this one of several
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -14,6 +14,7 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +48,7 @@
 	in       *listener
 	draining atomic.Bool // for good
 	yielding atomic.Bool // while a newer process serves
+	adopted  sync.WaitGroup
 }
 
 // NewServer makes a server for at most limit connections at once. Beyond
@@ -83,7 +85,11 @@
 func (s *Server) Share(processes int) { s.in.share(processes) }
 
 // Shutdown takes nothing more and waits for what it has taken.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
+func (s *Server) Shutdown(ctx context.Context) error {
+	err := s.http.ShutdownWithContext(ctx)
+	s.adopted.Wait() // each ends with its answer: its connection is closed behind it by now
+	return err
+}
 
 // malformed answers what could not be read as a request.
 func (s *Server) malformed(ctx *fasthttp.RequestCtx, err error) {
@@ -116,6 +122,9 @@
 	if s.draining.Load() || s.yielding.Load() {
 		ctx.SetConnectionClose()
 	}
+	if b, ok := ctx.Response.BodyStream().(*body); ok {
+		b.closes = ctx.Response.ConnectionClose() || ctx.Request.Header.ConnectionClose()
+	}
 }
 
 // Answer routes a request in the platform's form and answers it. A streamed
@@ -168,7 +177,9 @@
 	case gateway.Served:
 		streams = true
 		ctx.SetContentType("text/event-stream")
-		ctx.SetBodyStream(&body{stream: reply.Stream, end: end}, -1)
+		ctx.SetBodyStream(&body{
+			stream: reply.Stream, end: end, conn: conn, client: client, gone: gone, movable: ctx.Request.Header.IsHTTP11(),
+		}, -1)
 	case gateway.Refused:
 		refuse(ctx, reply.RetryAfter)
 	case gateway.Failed:
@@ -202,6 +213,13 @@
 	stream gateway.Stream
 	rest   []byte
 	end    func()
+
+	conn    *clientConn     // nil where it is not the platform's own listener's
+	client  context.Context // of the client
+	gone    func()          // ends it
+	movable bool            // another process could go on with it
+	passed  bool            // a piece has been passed on
+	closes  bool            // the client's connection is to be closed behind it
 }
 
 func (b *body) Read(p []byte) (n int, err error) {
@@ -211,6 +229,9 @@
 		}
 	}()
 	if len(b.rest) == 0 {
+		if b.handOver() {
+			return 0, errMoved
+		}
 		piece, err := b.stream.Next()
 		if err != nil {
 			if !errors.Is(err, io.EOF) {
@@ -221,7 +242,7 @@
 		b.rest = piece
 	}
 	n = copy(p, b.rest)
-	b.rest = b.rest[n:]
+	b.rest, b.passed = b.rest[n:], true
 	return n, nil
 }
 
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -128,6 +128,17 @@
 	return true
 }
 
+// EndWaiting ends the requests inside whose answer has not begun, and gives them as they came.
+func (m *Machine) EndWaiting() (end []ID) {
+	for _, id := range m.order {
+		if stage, ok := m.inside[id]; ok && stage == Waiting && !m.ended[id] {
+			m.ended[id] = true
+			end = append(end, id)
+		}
+	}
+	return end
+}
+
 // Leave tells that a request is over and holds nothing. Again, it does nothing.
 func (m *Machine) Leave(id ID) {
 	delete(m.inside, id)
--- a/router/router.go
+++ b/router/router.go
@@ -251,7 +251,7 @@
 		r.mu.Lock()
 		begun := r.life.Began(id)
 		r.mu.Unlock()
-		s := &stream{Stream: reply.Stream, ctx: vctx, leave: func() { r.leave(id) }, ended: func(how figures.End) { r.gw.Figures().Ended(req.Class, how) }}
+		s := r.stream(vctx, id, req.Class, reply.Stream)
 		if begun {
 			reply.Stream = s
 			return reply, nil
@@ -263,11 +263,67 @@
 	ended := errors.Is(context.Cause(vctx), ErrShuttingDown)
 	r.leave(id)
 	if ended && reply.Kind == gateway.Gone {
-		reply = gateway.Reply{Kind: gateway.Failed, Err: ErrShuttingDown}
+		reply = r.unanswered(req.Class)
 	}
 	return reply, err
 }
 
+// Adopt goes on with an answer that another process of this gateway has begun; see
+// gateway.Gateway. It is counted as this router's request from now on, whatever its limits.
+func (r *Router) Adopt(ctx context.Context, live gateway.Live, make func(context.Context, gateway.Transport) (gateway.Stream, error)) (gateway.Stream, error) {
+	vctx, cancel := context.WithCancelCause(ctx)
+	v := &visit{cancel: cancel}
+	r.mu.Lock()
+	id, err := r.life.Enter()
+	if err == nil {
+		r.inside[id] = v
+		r.life.Began(id)
+	}
+	r.mu.Unlock()
+	if err != nil {
+		v.cancel(nil)
+		return nil, fmt.Errorf("router: %w", err)
+	}
+	inner, err := r.gw.Adopt(vctx, live, make)
+	if err != nil {
+		r.leave(id)
+		return nil, err
+	}
+	return r.stream(vctx, id, live.Class, inner), nil
+}
+
+func (r *Router) stream(ctx context.Context, id lifecycle.ID, class string, inner gateway.Stream) *stream {
+	return &stream{
+		Stream: inner, ctx: ctx, leave: func() { r.leave(id) },
+		ended: func(how figures.End) { r.gw.Figures().Ended(class, how) },
+	}
+}
+
+// EndWaiting ends the requests inside whose answer has not begun; what is held for them is
+// let go of. Answers that have begun go on.
+func (r *Router) EndWaiting() {
+	r.mu.Lock()
+	var end []context.CancelCauseFunc
+	for _, id := range r.life.EndWaiting() {
+		end = append(end, r.inside[id].cancel)
+	}
+	r.mu.Unlock()
+	for _, cancel := range end {
+		cancel(ErrShuttingDown)
+	}
+}
+
+// unanswered is the answer to a request that the stop has ended: a refusal where trying
+// again does no harm whatever has run.
+func (r *Router) unanswered(class string) gateway.Reply {
+	for _, c := range r.cfg.Settings.Classes {
+		if c.Name == class && c.Effect == ashwood.Pure {
+			return gateway.Reply{Kind: gateway.Refused, RetryAfter: r.gw.Pause(), Err: ErrShuttingDown}
+		}
+	}
+	return gateway.Reply{Kind: gateway.Failed, Err: ErrShuttingDown}
+}
+
 // enter asks for a place in the house.
 func (r *Router) enter(req *gateway.Request) (lifecycle.ID, *visit, error) {
 	r.mu.Lock()
@@ -333,6 +389,17 @@
 	return piece, err
 }
 
+// Move hands the answer to another process, which counts it.
+func (s *stream) Move(give func(gateway.Live) error) error {
+	m, ok := s.Stream.(gateway.Movable)
+	if !ok {
+		return fmt.Errorf("router: a stream of %T can't be moved", s.Stream)
+	}
+	err := m.Move(give)
+	s.over = s.over || err == nil
+	return err
+}
+
 // Close ends the answer.
 func (s *stream) Close() error {
 	defer s.leave()
