--- a/cmd/ashwood/main.go
+++ b/cmd/ashwood/main.go
@@ -72,7 +72,7 @@
 	var now phase
 	now.set(starting)
 	var serves atomic.Pointer[front] // the platform's
-	mgmt, err := openDoor(cfg.Mgmt, &now, func() string {
+	mgmt, mgmtAddr, err := openDoor(cfg.Mgmt, &now, func() string {
 		if f := serves.Load(); f != nil {
 			return figuresReply(*f)
 		}
@@ -111,6 +111,9 @@
 	for _, f := range fronts {
 		addrs = append(addrs, f.name, f.addr)
 	}
+	if mgmt != nil {
+		addrs = append(addrs, "mgmt", mgmtAddr)
+	}
 	others.tell(handover.Serving)
 	now.set(serving)
 	log.Info("serving", addrs...)
--- a/cmd/ashwood/mgmt.go
+++ b/cmd/ashwood/mgmt.go
@@ -16,13 +16,13 @@
 func (p *phase) set(word string) { p.Store(&word) }
 
 // openDoor opens the operators' door at an address; without one it gives nil.
-func openDoor(addr string, p *phase, vars func() string, log *slog.Logger) (*door.Door, error) {
+func openDoor(addr string, p *phase, vars func() string, log *slog.Logger) (*door.Door, net.Addr, error) {
 	if addr == "" {
-		return nil, nil
+		return nil, nil, nil
 	}
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
-		return nil, fmt.Errorf("mgmt: %w", err)
+		return nil, nil, fmt.Errorf("mgmt: %w", err)
 	}
 	d := door.New(log, map[string]door.Call{
 		"check": func() string {
@@ -34,7 +34,7 @@
 		"vars": vars,
 	})
 	go d.Serve(l)
-	return d, nil
+	return d, l.Addr(), nil
 }
 
 // The phases of a process.
