Let a crowd's connections go before those of clients that write slowly

Need: crowds of thousands that never finish a request, while true ones take 2 s to write on new connections. The first request had to be whole in 2.0 s, and a full listener closed the connection that had waited longest, which a slow writer is. Change: 2.7 s (an error or a close is owed within 3 s); a full listener closes first what has brought nothing in 0.5 s, then what is idle, then the new, and last those whose first request has begun; each is logged with its reason.

--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"log/slog"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -15,17 +16,18 @@
 func Listener(l net.Listener) net.Listener { return newListener(l, 0) }
 
 func newListener(l net.Listener, limit int) *listener {
-	return &listener{Listener: l, most: limit, limit: limit}
+	return &listener{Listener: l, most: limit, limit: limit, log: slog.New(slog.DiscardHandler)}
 }
 
 // listener holds at most limit connections open, without a limit where that is
-// 0. For a new one beyond, it closes the one that has waited longest without a
-// request: clients may keep connections that they never use again, or open
-// hundreds and say nothing, and those that do ask must still get in.
+// 0. For a new one beyond, it closes one that waits without a request: clients may
+// keep connections that they never use again, or open thousands and never finish a
+// request, and those that do ask must still get in, though some write for seconds.
 type listener struct {
 	net.Listener
 	most int                  // for one process alone
 	give atomic.Pointer[Give] // to another process; nil = answers end here
+	log  *slog.Logger
 
 	mu      sync.Mutex
 	limit   int // for this one of several
@@ -42,15 +44,17 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &clientConn{Conn: nc, l: l, first: time.Now().Add(readTimeout)}
+	now := time.Now()
+	c := &clientConn{Conn: nc, l: l, came: now, first: now.Add(readTimeout)}
 	nc.SetReadDeadline(c.first)
 	l.mu.Lock()
-	old := l.oldest()
+	old, why := l.oldest(now)
 	l.open++
 	c.place = l.waiting.PushBack(c)
 	l.mu.Unlock()
 	if old != nil {
 		old.Close()
+		l.log.Debug("turned back", "why", why, "ms", now.Sub(old.came).Milliseconds())
 	}
 	return c, nil
 }
@@ -65,7 +69,7 @@
 	l.mu.Lock()
 	l.limit = max(l.most/max(processes, 1), 1)
 	for l.open > l.limit {
-		old := l.oldest()
+		old, _ := l.oldest(time.Now())
 		if old == nil {
 			break
 		}
@@ -77,19 +81,46 @@
 	}
 }
 
-// oldest gives the connection to close for a new one, nil where there is room.
-func (l *listener) oldest() *clientConn {
+// silentAfter is how long a new connection may bring nothing before it is no client's:
+// those that ask write at once.
+const silentAfter = 500 * time.Millisecond
+
+// oldest gives the connection to close for a new one and why that one, nil where there is
+// room: one that has said nothing since it came, for long; else one that has been served
+// and is idle; else one that has said nothing yet; else one with its first request begun.
+// Of each kind it is the one that has waited longest.
+func (l *listener) oldest(now time.Time) (c *clientConn, why string) {
 	if l.limit == 0 || l.open < l.limit {
-		return nil
+		return nil, ""
 	}
+	var idle, fresh, unfinished *clientConn
 	for e := l.waiting.Front(); e != nil; e = e.Next() {
-		// A later request that has been read in part is owed an answer.
-		if c := e.Value.(*clientConn); !c.served || !c.reading.Load() {
-			l.leave(c)
-			return c
+		v := e.Value.(*clientConn)
+		switch reading := v.reading.Load(); {
+		case v.served && reading: // a later request that has been read in part is owed an answer
+		case v.served && idle == nil:
+			idle = v
+		case !v.served && !reading && now.Sub(v.came) >= silentAfter:
+			l.leave(v)
+			return v, "silent"
+		case !v.served && !reading && fresh == nil:
+			fresh = v
+		case !v.served && reading && unfinished == nil:
+			unfinished = v
 		}
 	}
-	return nil
+	switch {
+	case idle != nil:
+		c, why = idle, "idle"
+	case fresh != nil:
+		c, why = fresh, "new"
+	case unfinished != nil:
+		c, why = unfinished, "unfinished"
+	default:
+		return nil, ""
+	}
+	l.leave(c)
+	return c, why
 }
 
 // leave takes a connection out of the count.
@@ -111,6 +142,7 @@
 type clientConn struct {
 	net.Conn
 	l       *listener
+	came    time.Time
 	first   time.Time   // by then the first request must be whole
 	reading atomic.Bool // bytes of a request have been read
 	written atomic.Bool // bytes of an answer have been
--- /dev/null
+++ b/internal/platform/conn_test.go
@@ -0,0 +1,50 @@
+package platform
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+// In a crowd, the connections of those that never finish a request go before those of
+// clients that are served, and true requests that are being written go last.
+func TestACrowdGoesBeforeTrueClients(t *testing.T) {
+	now := time.Now()
+	l := newListener(nil, 6)
+	add := func(ageMs int, served, reading bool) *clientConn {
+		near, far := net.Pipe()
+		t.Cleanup(func() { far.Close() })
+		c := &clientConn{Conn: near, l: l, came: now.Add(-time.Duration(ageMs) * time.Millisecond), served: served}
+		c.reading.Store(reading)
+		c.place = l.waiting.PushBack(c)
+		l.open++
+		return c
+	}
+	names := map[*clientConn]string{
+		add(2000, false, true): "a slow writer", add(1900, true, true): "a later request begun", add(600, false, false): "silent",
+		add(500, true, false): "idle", add(10, false, false): "new", add(5, false, true): "a writer that has just begun",
+	}
+	for _, want := range []struct{ who, why string }{
+		{"silent", "silent"}, {"idle", "idle"}, {"new", "new"}, {"a slow writer", "unfinished"}, {"a writer that has just begun", "unfinished"},
+	} {
+		c, why := l.oldest(now)
+		if names[c] != want.who || why != want.why {
+			t.Fatalf("closes %q for being %q, want %q", names[c], why, want.who)
+		}
+		l.open++ // the new one takes its place
+	}
+	if c, _ := l.oldest(now); c != nil {
+		t.Errorf("closes %q, which is owed an answer", names[c])
+	}
+	// Shared between two processes, each keeps to half, and gives back what has no request.
+	l = newListener(nil, 6)
+	for range 6 {
+		add(1000, true, false)
+	}
+	if l.share(2); l.open != 3 || l.limit != 3 {
+		t.Errorf("%d open of %d", l.open, l.limit)
+	}
+	if l.share(1); l.limit != 6 {
+		t.Errorf("a limit of %d for one alone", l.limit)
+	}
+}
--- a/internal/platform/engines_test.go
+++ b/internal/platform/engines_test.go
@@ -283,3 +283,33 @@
 		runtime.Gosched()
 	}
 }
+
+// While two processes serve one gateway, each keeps half of the connections to engines.
+func TestPoolIsSharedBetweenProcesses(t *testing.T) {
+	s := engine(t, "e", "", func(seen) string { return "HTTP/1.1 204 No Content\r\n\r\n" })
+	p := newPool(clock.System(), 1000, 15000, 4)
+	var conns []*conn
+	for range 4 {
+		c, err := p.get(t.Context(), s.Address, anyConn)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	p.put(conns[0])
+	p.share(2)
+	if p.open != 3 {
+		t.Errorf("%d open: an idle one beyond the part stays", p.open)
+	}
+	p.put(conns[1]) // beyond the part: it is closed
+	p.put(conns[2])
+	if p.open != 2 || len(p.idle[s.Address]) != 1 {
+		t.Errorf("%d open, %d of them idle", p.open, len(p.idle[s.Address]))
+	}
+	p.share(1)
+	if p.max != 4 {
+		t.Errorf("%d for one alone", p.max)
+	}
+	p.put(conns[3])
+	p.close()
+}
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -25,8 +25,11 @@
 )
 
 const (
-	maxBody     = 256 << 10
-	readTimeout = 2 * time.Second // from a connection's begin, or a later request's first byte, to its last
+	maxBody = 256 << 10
+	// From a connection's begin to its first request's last byte: some write for 2 s, and
+	// who never ends is owed an error or a close within 3 s. Later ones have as long from
+	// their first byte.
+	readTimeout = 2700 * time.Millisecond
 	idleTimeout = 5 * time.Second // between requests
 	readyPath   = "/-/ready"
 	frontName   = "http" // to limits
@@ -55,6 +58,7 @@
 // that, its listener closes connections; fasthttp counts these a little longer.
 func NewServer(gw Handler, log *slog.Logger, limit int) *Server {
 	s := &Server{gw: gw, log: log, in: newListener(nil, limit)}
+	s.in.log = log
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.malformed, Concurrency: 2 * limit, MaxRequestBodySize: maxBody,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true,
@@ -99,6 +103,7 @@
 	switch {
 	case errors.As(err, &timeout) && timeout.Timeout():
 		code = fasthttp.StatusRequestTimeout
+		s.log.Debug("turned back", "why", "slow")
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		code = fasthttp.StatusRequestEntityTooLarge
 	case errors.As(err, &small):
