--- a/cmd/ashwood/main.go
+++ b/cmd/ashwood/main.go
@@ -72,7 +72,7 @@
 	var now phase
 	now.set(starting)
 	var serves atomic.Pointer[front] // the platform's
-	mgmt, mgmtAddr, err := openDoor(cfg.Mgmt, &now, func() string {
+	mgmt, mgmtAddr, err := openDoor(cfg.Mgmt, cfg.Limits.Sockets, &now, func() string {
 		if f := serves.Load(); f != nil {
 			return figuresReply(*f)
 		}
--- a/cmd/ashwood/main_test.go
+++ b/cmd/ashwood/main_test.go
@@ -244,6 +244,7 @@
 	tests := []struct{ old, new, operator, key string }{
 		{`"effect":"pure"`, `"effect":"odd"`, "", "lanes.effect"},
 		{`"name":"n"`, `"limits":{"sockets":3},"name":"n"`, "", "limits.sockets"},
+		{`"name":"n"`, `"mgmt":"nowhere","name":"n"`, "", "mgmt"},
 		{"", "", "[grpc]\nlisten = 7", "grpc.listen"},
 		{"", "", "[grpc]\nlisten = \"127.0.0.1:0\"\n", "grpc.boxes"},
 		{"", "", "[grpc]\nlistn = \"127.0.0.1:0\"\n", "grpc.listn"},
--- a/cmd/ashwood/mgmt.go
+++ b/cmd/ashwood/mgmt.go
@@ -15,8 +15,11 @@
 
 func (p *phase) set(word string) { p.Store(&word) }
 
+// Callers that the door holds at once, by the sockets that the machine allows.
+const socketsACaller, leastCallers, mostCallers = 32, 4, 16
+
 // openDoor opens the operators' door at an address; without one it gives nil.
-func openDoor(addr string, p *phase, vars func() string, log *slog.Logger) (*door.Door, net.Addr, error) {
+func openDoor(addr string, sockets int, p *phase, vars func() string, log *slog.Logger) (*door.Door, net.Addr, error) {
 	if addr == "" {
 		return nil, nil, nil
 	}
@@ -32,7 +35,7 @@
 			return "YES\n"
 		},
 		"vars": vars,
-	})
+	}, min(max(sockets/socketsACaller, leastCallers), mostCallers))
 	go d.Serve(l)
 	return d, l.Addr(), nil
 }
--- a/cmd/ashwood/site_test.go
+++ b/cmd/ashwood/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -28,6 +29,8 @@
 	tmp    string
 	listen string
 	list   string
+	// sockets are what the configuration allows; 0 = 1,024
+	sockets int
 
 	mu    sync.Mutex
 	sends map[string]int // attempts at the writer, by request
@@ -135,6 +138,7 @@
 	s.t.Helper()
 	config := strings.Replace(configuration(discovery(s.t, s.list), "null"), `"listen":"127.0.0.1:0"`,
 		fmt.Sprintf(`"listen":%q,"mgmt":"127.0.0.1:0"`, s.listen), 1)
+	config = strings.Replace(config, `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, cmp.Or(s.sockets, 1024)), 1)
 	p := &process{t: s.t, cmd: exec.Command(program), done: make(chan struct{})}
 	p.cmd.Env = []string{"ROUTER_CONFIG=" + write(s.t, "config.json", config), "TMPDIR=" + s.tmp, "ASHWOOD_LOG=debug"}
 	out, err := p.cmd.StderrPipe()
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -24,7 +24,6 @@
 	maxLine   = 128             // bytes, with the line's end
 	lineWait  = 2 * time.Second // for the line, from the connection's begin
 	replyWait = time.Second     // for the reply to be taken
-	maxCalls  = 16              // at once; for one more, the one that has waited longest is closed
 )
 
 // Call answers one call with its whole reply.
@@ -35,6 +34,7 @@
 	log   *slog.Logger
 	calls map[string]Call
 	wait  time.Duration // for a line
+	most  int           // callers at once
 
 	mu      sync.Mutex
 	l       net.Listener
@@ -43,9 +43,10 @@
 	running sync.WaitGroup
 }
 
-// New makes a door for these calls.
-func New(log *slog.Logger, calls map[string]Call) *Door {
-	return &Door{log: log, calls: calls, wait: lineWait}
+// New makes a door for these calls and at most so many callers at once: for one more, the
+// one that has waited longest is closed.
+func New(log *slog.Logger, calls map[string]Call, most int) *Door {
+	return &Door{log: log, calls: calls, wait: lineWait, most: max(most, 1)}
 }
 
 // Serve answers on a listener until Close. A caller that fails to be accepted, for want of
@@ -90,7 +91,7 @@
 func (d *Door) enter(c net.Conn) *list.Element {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.waiting.Len() >= maxCalls {
+	if d.waiting.Len() >= d.most {
 		d.waiting.Remove(d.waiting.Front()).(net.Conn).Close()
 	}
 	return d.waiting.PushBack(c)
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -9,6 +9,8 @@
 	"time"
 )
 
+const most = 16
+
 // open serves a door on loopback until the test ends.
 func open(t *testing.T, wait time.Duration) (d *Door, addr string) {
 	t.Helper()
@@ -20,7 +22,7 @@
 		"check": func() string { return "YES\n" },
 		"vars":  func() string { return "YES\na:1|c\nEND\n" },
 		"oops":  func() string { panic("a fault in a call") },
-	})
+	}, most)
 	d.wait = wait
 	go d.Serve(l)
 	t.Cleanup(d.Close)
@@ -81,7 +83,7 @@
 // ever given up for being slow, so that only its own place lets the caller in.
 func TestSilentCallersKeepNoneWaiting(t *testing.T) {
 	d, addr := open(t, time.Hour)
-	for range 5 * maxCalls {
+	for range 5 * most {
 		dial(t, addr)
 	}
 	c := dial(t, addr)
@@ -92,7 +94,7 @@
 	d.mu.Lock()
 	held := d.waiting.Len()
 	d.mu.Unlock()
-	if held > maxCalls {
+	if held > most {
 		t.Errorf("%d callers are held", held)
 	}
 }
