Hand over only answers behind which nothing of a next request has been read

Found by a test that begins a next request before the answer ends: where it was read together with the first, fasthttp's reader held it, and it was lost with the handover. Bytes read on a client's connection are counted against those of the requests taken; where they differ the answer stays.

--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 // writeWait bounds one write to a client that does not read.
@@ -152,6 +154,10 @@
 	served bool          // it has had a request
 	left   bool
 
+	// Bytes that have been read, and those of the requests that have been taken; of
+	// whoever reads requests.
+	got, taken int
+
 	mu    sync.Mutex
 	ahead []byte
 	quit  chan struct{} // closed when the watch has ended; nil without one
@@ -171,6 +177,15 @@
 	return c.l.limit == 0 || float64(busy) <= float64(c.l.limit)*busyShare
 }
 
+// take notes a request that has been read, and tells whether nothing behind it has been
+// read as well: what fasthttp holds of a next request can't be got back from it.
+func (c *clientConn) take(r *fasthttp.Request) (clean bool) {
+	h := &r.Header
+	first := len(h.Method()) + len(h.RequestURI()) + len(h.Protocol()) + len("  \r\n")
+	c.taken += first + len(h.RawHeaders()) + len(r.Body())
+	return c.taken == c.got
+}
+
 // end tells that its answer is ready or, where that is a stream, over.
 func (c *clientConn) end() {
 	c.l.mu.Lock()
@@ -252,6 +267,7 @@
 		}
 	}
 	c.reading.Store(true)
+	c.got += n
 	return n, nil
 }
 
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -119,6 +119,10 @@
 			ctx.Error("internal error", fasthttp.StatusInternalServerError)
 		}
 	}()
+	clean := false
+	if c, ok := ctx.Conn().(*clientConn); ok {
+		clean = c.take(&ctx.Request)
+	}
 	if string(ctx.Path()) == readyPath && ctx.IsGet() {
 		ctx.SetStatusCode(fasthttp.StatusOK)
 	} else {
@@ -128,6 +132,7 @@
 		ctx.SetConnectionClose()
 	}
 	if b, ok := ctx.Response.BodyStream().(*body); ok {
+		b.movable = clean && ctx.Request.Header.IsHTTP11()
 		b.closes = ctx.Response.ConnectionClose() || ctx.Request.Header.ConnectionClose()
 	}
 }
@@ -183,7 +188,7 @@
 		streams = true
 		ctx.SetContentType("text/event-stream")
 		ctx.SetBodyStream(&body{
-			stream: reply.Stream, end: end, conn: conn, client: client, gone: gone, movable: ctx.Request.Header.IsHTTP11(),
+			stream: reply.Stream, end: end, conn: conn, client: client, gone: gone,
 		}, -1)
 	case gateway.Refused:
 		refuse(ctx, reply.RetryAfter)
