Keep waits for a first token that later ones overtook out of the pace

At the first look each wait was observed as the pace (overdue: 'it will have taken longer yet'), which drew out the time after which it would be left, again and again, also for all other writes. Lines: the case of a live server in overdue. Change: not where the server has begun what was sent later.

--- a/outcomes.go
+++ b/outcomes.go
@@ -182,7 +182,7 @@
 		a.lost = !a.write
 		s.leave(r, n)
 	case a.srv.alive > a.sent || s.shared(a.srv):
-		if a.write { // it will have taken longer yet
+		if a.write && a.srv.began[a.stage] <= a.sent { // it will have taken longer yet; else it may be lost
 			s.pace[a.stage].Observe(s.now, wait, a.queue)
 		}
 	case float64(wait) < math.Pow(s.crowd, 4)*float64(r.class.Aim):
