End answers that stop beside others that go on, within the 5 s that a client may wait

The order began at 14.53 s at s- and brought nothing more; n1 sent that writer nothing later that began, so that nothing spoke for a stop before 30 s; its client left at 19.80. Another answer of that writer, begun at 14.29, went on to 27.46. Excluded: a hang (that one), the timer (it looked). Change: while an answer is silent, others of its engine that have gone on for 1.75 s show that the engine is at work; it is probed, and with nothing waiting there (an answer taken back for want of memory would wait) the silent one is ended, at 3.75 s. Holds for answers taken over from another process too. The hand-over's answers had no such guard but the 30 s.

--- a/facade.go
+++ b/facade.go
@@ -233,13 +233,18 @@
 }
 
 // Stopped tells whether an answer that has brought nothing since a time will not
-// go on, so that it is to be ended as broken. First says that it has brought one
-// event alone. Ask says that a probe of its engine would tell.
-func (t *Router) Stopped(id RequestID, attempt int, since float64, first bool) (over, ask bool) {
+// go on, so that it is to be ended as broken. Others is when an answer of its engine
+// last went on. First says that it has brought one event alone. Ask says that a probe of
+// its engine would tell. The answer may be one that another process has begun.
+func (t *Router) Stopped(id RequestID, attempt int, engine ServerID, since, others float64, first bool) (over, ask bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sched.now = max(t.sched.now, t.now())
-	return t.sched.stopped(id, attempt, duration(since), first)
+	v := t.sched.servers[engine]
+	if v == nil {
+		return false, false
+	}
+	return t.sched.stopped(t.sched.reqs[id], attempt, v, duration(since), duration(others), first)
 }
 
 // Place tells whether a place asked for ahead is held, and gives the writer
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,7 @@
 	beside    sync.WaitGroup // what runs beside requests: places, releases, probes
 	owner     *owner         // of what is held and wanted no more
 	figures   *figures.Set
+	pulses    pulses // of engines with answers open
 }
 
 // New makes a gateway. Run must be running for it to serve.
@@ -190,7 +191,7 @@
 	if ans.Status == ashwood.Served {
 		if inTime && g.router.Begun(req.ID, step.Attempt) {
 			h.begin()
-			ans.Stream = &stream{Stream: ans.Stream, g: g, ctx: ctx, id: req.ID, attempt: step.Attempt, engine: step.Engine, cancel: cancel}
+			ans.Stream = &stream{Stream: ans.Stream, g: g, ctx: ctx, id: req.ID, attempt: step.Attempt, engine: step.Engine, pulse: g.pulses.enter(step.Engine.ID), cancel: cancel}
 			return ans, ashwood.Step{}
 		}
 		ans.Stream.Close()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -19,7 +19,8 @@
 	attempt int
 	cancel  context.CancelCauseFunc
 	engine  ashwood.Server
-	pieces  int // brought so far
+	pulse   *pulse // of the engine
+	pieces  int    // brought so far
 	class   string
 	begun   float64 // when the request was taken
 	ended   bool
@@ -53,6 +54,7 @@
 	var cancel func() bool
 	var look func()
 	over, first, since := false, s.pieces == 1, s.g.clock.Now()
+	s.pulse.beat(since) // the piece before has just gone on
 	arm := func(ms float64) {
 		mu.Lock()
 		defer mu.Unlock()
@@ -61,7 +63,7 @@
 		}
 	}
 	look = func() {
-		stopped, ask := s.g.router.Stopped(s.id, s.attempt, since, first)
+		stopped, ask := s.g.router.Stopped(s.id, s.attempt, s.engine.ID, since, s.pulse.at(), first)
 		if stopped || s.g.clock.Now()-since >= stallWait {
 			s.cancel(ErrStalled)
 			return
@@ -108,7 +110,7 @@
 		return nil, err
 	}
 	g.log.Debug("adopted", "id", live.ID, "class", live.Class, "engine", live.Engine.ID, "ms", g.clock.Now()-live.Begun)
-	return &stream{Stream: inner, g: g, ctx: ctx, id: live.ID, engine: live.Engine, cancel: cancel, class: live.Class, begun: live.Begun, pieces: 2}, nil
+	return &stream{Stream: inner, g: g, ctx: ctx, id: live.ID, engine: live.Engine, pulse: g.pulses.enter(live.Engine.ID), cancel: cancel, class: live.Class, begun: live.Begun, pieces: 2}, nil
 }
 
 // Close ends the engine's stream if it has not ended.
@@ -123,6 +125,7 @@
 		return
 	}
 	s.ended = true
+	s.g.pulses.leave(s.engine.ID)
 	s.g.log.Debug("end", "id", s.id, "class", s.class, "status", status, "ms", s.g.clock.Now()-s.begun)
 	s.g.router.Report(s.id, s.attempt, ashwood.Result{Status: status, Report: s.Stream.Report()})
 }
--- a/outcomes.go
+++ b/outcomes.go
@@ -34,19 +34,14 @@
 
 // stopped tells of an answer, silent since a time, that will not go on although its
 // server is at work: that has begun what was sent later, and an answer that it took
-// back for want of memory would have been before it in the queue. Many nodes seldom
-// have other work there: one with no second event stops where nothing waits, by the
-// server's word; where that hangs, all nodes' work has come to wait.
-func (s *Scheduler) stopped(id RequestID, n int, since time.Duration, first bool) (over, ask bool) {
-	r := s.reqs[id]
-	if r == nil || n >= len(r.attempts) {
-		return false, false
-	}
-	v := r.attempts[n].srv
+// back for want of memory would have been before it in the queue. Else it stops where
+// nothing waits, by the server's word, if its other answers have gone on, or, of many nodes,
+// which seldom have any there, with no second event: all nodes' work waits where it hangs.
+func (s *Scheduler) stopped(r *request, n int, v *server, since, others time.Duration, first bool) (over, ask bool) {
 	waits, told := v.report[ReportQueue]
-	ask = first && s.set.Nodes > manyNodes && s.set.Limits.Probes && s.now-since < 2*stopSure
+	ask = (first && s.set.Nodes > manyNodes || others-since >= stopSure/2) && s.set.Limits.Probes && s.now-since < 2*stopSure
 	idle := told && waits < 1 && v.reportAt-since >= stopSure
-	return v.began[r.attempts[n].stage] > since || ask && idle, ask
+	return r != nil && n < len(r.attempts) && v.began[r.attempts[n].stage] > since || ask && idle, ask
 }
 
 func (s *Scheduler) outcome(e Outcome) {
