In a crowd, close first whose request has brought nothing for longest

Cause: where all others were unfinished, oldest closed 'new' connections first, and those had only not been read yet. Change: of those whose first request is not whole, the one that has brought nothing for longest goes first.

--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -48,6 +48,7 @@
 	}
 	now := time.Now()
 	c := &clientConn{Conn: nc, l: l, came: now, first: now.Add(readTimeout)}
+	c.latest.Store(now.UnixNano())
 	nc.SetReadDeadline(c.first)
 	l.mu.Lock()
 	old, why := l.oldest(now)
@@ -89,13 +90,14 @@
 
 // oldest gives the connection to close for a new one and why that one, nil where there is
 // room: one that has said nothing since it came, for long; else one that has been served
-// and is idle; else one that has said nothing yet; else one with its first request begun.
-// Of each kind it is the one that has waited longest.
+// and is idle; of these the one that has waited longest. Else, of those whose first request
+// is not whole, the one that has brought nothing for longest: who writes slowly still
+// writes, and one that has just come may not have been read yet.
 func (l *listener) oldest(now time.Time) (c *clientConn, why string) {
 	if l.limit == 0 || l.open < l.limit {
 		return nil, ""
 	}
-	var idle, fresh, unfinished *clientConn
+	var idle, unfinished *clientConn
 	for e := l.waiting.Front(); e != nil; e = e.Next() {
 		v := e.Value.(*clientConn)
 		switch reading := v.reading.Load(); {
@@ -105,17 +107,13 @@
 		case !v.served && !reading && now.Sub(v.came) >= silentAfter:
 			l.leave(v)
 			return v, "silent"
-		case !v.served && !reading && fresh == nil:
-			fresh = v
-		case !v.served && reading && unfinished == nil:
+		case !v.served && (unfinished == nil || v.latest.Load() < unfinished.latest.Load()):
 			unfinished = v
 		}
 	}
 	switch {
 	case idle != nil:
 		c, why = idle, "idle"
-	case fresh != nil:
-		c, why = fresh, "new"
 	case unfinished != nil:
 		c, why = unfinished, "unfinished"
 	default:
@@ -145,9 +143,10 @@
 	net.Conn
 	l       *listener
 	came    time.Time
-	first   time.Time   // by then the first request must be whole
-	reading atomic.Bool // bytes of a request have been read
-	written atomic.Bool // bytes of an answer have been
+	latest  atomic.Int64 // when it last brought a byte, or came; Unix time in nanoseconds
+	first   time.Time    // by then the first request must be whole
+	reading atomic.Bool  // bytes of a request have been read
+	written atomic.Bool  // bytes of an answer have been
 
 	// Of the listener:
 	place  *list.Element // among those that wait; nil with a request open
@@ -267,6 +266,7 @@
 		}
 	}
 	c.reading.Store(true)
+	c.latest.Store(time.Now().UnixNano())
 	c.got += n
 	return n, nil
 }
--- a/internal/platform/conn_test.go
+++ b/internal/platform/conn_test.go
@@ -11,21 +11,22 @@
 func TestACrowdGoesBeforeTrueClients(t *testing.T) {
 	now := time.Now()
 	l := newListener(nil, 6)
-	add := func(ageMs int, served, reading bool) *clientConn {
+	add := func(ageMs, quietMs int, served, reading bool) *clientConn {
 		near, far := net.Pipe()
 		t.Cleanup(func() { far.Close() })
 		c := &clientConn{Conn: near, l: l, came: now.Add(-time.Duration(ageMs) * time.Millisecond), served: served}
 		c.reading.Store(reading)
+		c.latest.Store(now.Add(-time.Duration(quietMs) * time.Millisecond).UnixNano())
 		c.place = l.waiting.PushBack(c)
 		l.open++
 		return c
 	}
 	names := map[*clientConn]string{
-		add(2000, false, true): "a slow writer", add(1900, true, true): "a later request begun", add(600, false, false): "silent",
-		add(500, true, false): "idle", add(10, false, false): "new", add(5, false, true): "a writer that has just begun",
+		add(2000, 60, false, true): "a slow writer", add(1900, 1900, true, true): "a later request begun", add(600, 600, false, false): "silent",
+		add(500, 500, true, false): "idle", add(10, 10, false, false): "new", add(400, 390, false, true): "one that has stopped writing",
 	}
 	for _, want := range []struct{ who, why string }{
-		{"silent", "silent"}, {"idle", "idle"}, {"new", "new"}, {"a slow writer", "unfinished"}, {"a writer that has just begun", "unfinished"},
+		{"silent", "silent"}, {"idle", "idle"}, {"one that has stopped writing", "unfinished"}, {"a slow writer", "unfinished"}, {"new", "unfinished"},
 	} {
 		c, why := l.oldest(now)
 		if names[c] != want.who || why != want.why {
@@ -39,7 +40,7 @@
 	// Shared between two processes, each keeps to half, and gives back what has no request.
 	l = newListener(nil, 6)
 	for range 6 {
-		add(1000, true, false)
+		add(1000, 1000, true, false)
 	}
 	if l.share(2); l.open != 3 || l.limit != 3 {
 		t.Errorf("%d open of %d", l.open, l.limit)
