--- a/cmd/ashwood/upgrade_test.go
+++ b/cmd/ashwood/upgrade_test.go
@@ -29,9 +29,7 @@
 		until(t, "the older process has an heir", func() bool { return a.logged("a newer process goes on") })
 		s.step <- struct{}{}
 		a.ended()
-		if !b.logged("msg=adopted") {
-			t.Errorf("%s has not taken the answer over", next)
-		}
+		until(t, next+" takes the answer over", func() bool { return b.logged("msg=adopted") })
 		if got := b.ask("vars"); !strings.Contains(got, "app.open_requests:1|g\n") {
 			t.Errorf("%s: %s", next, got)
 		}
--- a/cmd/ashwood/versions.go
+++ b/cmd/ashwood/versions.go
@@ -106,9 +106,9 @@
 		return
 	}
 	if plan := handover.Decide(v.group.Self().Name, members); plan != v.plan {
-		v.log.Info("upgrade: processes of this gateway", "count", plan.Processes, "newer_one_serves", plan.Yield)
 		v.plan = plan
 		v.share()
+		v.log.Info("upgrade: processes of this gateway", "count", plan.Processes, "newer_one_serves", plan.Yield)
 	}
 	if err := v.group.Note(members); err != nil {
 		v.log.Warn("upgrade: the others can't be told", "err", err)
