--- a/cmd/ashwood/upgrade_test.go
+++ b/cmd/ashwood/upgrade_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"os"
@@ -182,3 +183,28 @@
 		t.Errorf("released %d times, sent %d times", s.freed["held"], s.sends["held"])
 	}
 }
+
+// An answer that was handed over is its new process's alone: when that is killed, the client
+// sees it broken, without the last chunk, and nobody sends the order again.
+func TestAnAnswerDiesWithTheProcessThatHasIt(t *testing.T) {
+	s := newSite(t)
+	old := s.begin().ready()
+	r, err := s.send(client(t), "d1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fresh := s.begin().ready()
+	old.term()
+	until(t, "the old process has an heir", func() bool { return old.logged("a newer process goes on") })
+	s.step <- struct{}{}
+	until(t, "the answer is taken over", func() bool { return fresh.logged("msg=adopted") })
+	old.ended()
+	fresh.cmd.Process.Kill()
+	<-fresh.done
+	body, err := io.ReadAll(r.Body)
+	r.Body.Close()
+	if err == nil || !strings.HasPrefix(strings.Join(pieces, ""), string(body)) || len(body) == 0 {
+		t.Errorf("%q, %v", body, err)
+	}
+	s.once(1)
+}
