Have the upgrade tests end when they fail, and see that new connections come to the newer process

Two of the first five broken guards put in by hand had not been found by the process tests: new connections that are not steered (no test asked where they went), and one that hung on its failure.

--- a/cmd/ashwood/upgrade_test.go
+++ b/cmd/ashwood/upgrade_test.go
@@ -65,6 +65,11 @@
 	stop := make(chan struct{})
 	var all sync.WaitGroup
 	var mu sync.Mutex
+	halt := sync.OnceFunc(func() {
+		close(stop)
+		all.Wait()
+	})
+	defer halt()
 	sent := 1
 	for who := range 8 {
 		all.Go(func() {
@@ -74,7 +79,7 @@
 					return
 				default:
 				}
-				c := client(t)
+				c := &http.Client{Transport: &http.Transport{}, Timeout: patience}
 				r, err := s.send(c, fmt.Sprintf("w%d-%d", who, n))
 				if err != nil {
 					t.Errorf("turned back: %v", err)
@@ -103,8 +108,7 @@
 	before := sent
 	mu.Unlock()
 	until(t, "requests after the old process's end", func() bool { mu.Lock(); defer mu.Unlock(); return sent > before+20 })
-	close(stop)
-	all.Wait()
+	halt()
 	s.once(sent + 1)
 	if got := fresh.ask("vars"); !strings.Contains(got, "app.faulted.send-order:0|c\n") || !strings.Contains(got, "app.throttled.send-order:0|c\n") {
 		t.Error(got)
@@ -138,6 +142,12 @@
 	answered("k1", false)
 	late := s.begin().ready()
 	until(t, "the old process yields", func() bool { return old.logged("newer_one_serves=true") })
+	for n := range 12 { // new connections come to the newer one alone
+		answered(fmt.Sprint("n", n), false)
+	}
+	if got := late.ask("vars"); !strings.Contains(got, "app.fulfilled.send-order:12|c\n") {
+		t.Error(got)
+	}
 	late.cmd.Process.Kill()
 	<-late.done
 	until(t, "the old process has taken all back", func() bool { return strings.Count(old.text(), "count=1") >= 2 })
@@ -147,7 +157,7 @@
 	<-old.done
 	until(t, "the new process is alone", func() bool { return fresh.logged("count=1") })
 	answered("k3", false)
-	s.once(3)
+	s.once(15)
 	entries, err := filepath.Glob(filepath.Join(s.tmp, "ashwood-*", "*.member"))
 	if err != nil || len(entries) != 1 {
 		t.Errorf("files left: %v, %v", entries, err)
