--- a/internal/handover/group_test.go
+++ b/internal/handover/group_test.go
@@ -107,6 +107,13 @@
 	want(fresh, Plan{Processes: 3})
 	third.Tell(Serving)
 	want(fresh, Plan{Processes: 3, Yield: true})
+	members, _ = old.Members()
+	if heir, ok := Heir("old", members); heir != "third" || !ok {
+		t.Errorf("the oldest's heir is %q, %v", heir, ok)
+	}
+	if heir, ok := Heir("third", members); ok {
+		t.Errorf("the newest's heir is %q", heir)
+	}
 	if err := third.Leave(); err != nil {
 		t.Fatal(err)
 	}
