--- a/internal/platform/move_test.go
+++ b/internal/platform/move_test.go
@@ -50,6 +50,17 @@
 	return first, second, addr, sends
 }
 
+// giveTo has one server hand its answers to another, and gives how the first of them was taken.
+func giveTo(t *testing.T, first, second *Server) (given chan error) {
+	given = make(chan error, 1)
+	first.Give(func(message []byte, client, engine syscall.Conn) error {
+		a, b := doubled(t, client), doubled(t, engine)
+		go func() { given <- second.Adopt(message, a, b) }()
+		return nil
+	})
+	return given
+}
+
 // An answer is handed over in the middle of a chunk, with what had been read ahead of it
 // at both ends: its client gets every byte once, and is served on the same connection.
 func TestAnAnswerIsHandedOverInTheMiddleOfAChunk(t *testing.T) {
@@ -66,12 +77,7 @@
 		<-goOn
 		return rest[at:] + "0\r\n\r\n"
 	})
-	given := make(chan error, 1)
-	first.Give(func(message []byte, client, engine syscall.Conn) error {
-		a, b := doubled(t, client), doubled(t, engine)
-		go func() { given <- second.Adopt(message, a, b) }()
-		return nil
-	})
+	given := giveTo(t, first, second)
 	c := dial(t, addr)
 	next := strings.Replace(request("order", "", "{}"), "9b1f", "9b20", 1)
 	io.WriteString(c, request("order", "", "{}"))
@@ -153,12 +159,7 @@
 		<-goOn
 		return "zz\r\n\x00" // no chunk's size, and a close
 	})
-	given := make(chan error, 1)
-	first.Give(func(message []byte, client, engine syscall.Conn) error {
-		a, b := doubled(t, client), doubled(t, engine)
-		go func() { given <- second.Adopt(message, a, b) }()
-		return nil
-	})
+	given := giveTo(t, first, second)
 	c := dial(t, addr)
 	io.WriteString(c, request("order", "", "{}"))
 	if err := <-given; err != nil {
