Set the next look at a stopped answer before its engine is asked

Cause: watch's look spawned the probe and armed its next look after it; who saw the probe could move the clock on before that look was set, and then waited for it for good.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -68,10 +68,10 @@
 			s.cancel(ErrStalled)
 			return
 		}
+		arm(stopLook) // before asking: who sees the probe may take the next look as set
 		if ask {
 			s.g.spawn(func() { s.g.probe(s.engine) })
 		}
-		arm(stopLook)
 	}
 	arm(stopWait)
 	return func() {
