Have new clients wait in a crowd rather than be answered a bare 503, and outlast EMFILE

Excluded: the listener's own count (it never holds more than its limit) and the refusal in begin (that one has a time to return). Wrong lines: NewServer's Concurrency: 2*limit. A connection closed for a new one is there, with its descriptor and fasthttp's worker, until that worker runs; a crowd fills the second half with such. And fasthttp ends its server on EMFILE, which those descriptors may bring about. Change: Accept waits while more than a sixteenth of the limit is closed and not yet gone; fasthttp's limit is left at its default, never reached; EMFILE, ENFILE, ENOBUFS and ENOMEM close one connection without a request and are tried again after 10 ms. Not taken: a larger Concurrency alone (descriptors go on growing), SleepWhen...Exceeded (stops everybody, and still answers 503). Tests on a scripted listener: 17 taken with room for 8 before, 9 now; the server ended on EMFILE before.

--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -2,10 +2,13 @@
 
 import (
 	"container/list"
+	"errors"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -18,7 +21,9 @@
 func Listener(l net.Listener) net.Listener { return newListener(l, 0) }
 
 func newListener(l net.Listener, limit int) *listener {
-	return &listener{Listener: l, most: limit, limit: limit, log: slog.New(slog.DiscardHandler)}
+	in := &listener{Listener: l, most: limit, limit: limit, log: slog.New(slog.DiscardHandler)}
+	in.woken.L = &in.mu
+	return in
 }
 
 // listener holds at most limit connections open, without a limit where that is
@@ -35,14 +40,25 @@
 	limit   int // for this one of several
 	open    int
 	waiting list.List // of *clientConn without an open request, longest first
+	closing int       // closed for others while who reads them has yet to wake
+	woken   sync.Cond // one of those has
+	ended   bool
 }
 
 // busyShare is the part of a listener's connections that may have a request
 // open, so that there is always one to close for a new one.
 const busyShare = 0.8
 
+// closingShare is the part of a listener's limit that may be closed and yet be there, each
+// with its descriptor and its reader. Where the processor lags behind, new connections wait
+// in the system's queue rather than being turned back.
+const closingShare = 16
+
+// scarceWait is between tries to accept where the machine has no descriptor or memory left.
+const scarceWait = 10 * time.Millisecond
+
 func (l *listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
+	nc, err := l.accept()
 	if err != nil {
 		return nil, err
 	}
@@ -55,13 +71,56 @@
 	l.open++
 	c.place = l.waiting.PushBack(c)
 	l.mu.Unlock()
-	if old != nil {
-		old.Close()
-		l.log.Debug("turned back", "why", why, "ms", now.Sub(old.came).Milliseconds())
-	}
+	l.turnBack(old, why)
 	return c, nil
 }
 
+// accept takes the next connection, once there is room for it. A machine that has no
+// descriptor left is waited for: fasthttp would end the server.
+func (l *listener) accept() (net.Conn, error) {
+	for scarce := false; ; {
+		l.mu.Lock()
+		for !l.ended && l.closing > l.limit/closingShare {
+			l.woken.Wait()
+		}
+		l.mu.Unlock()
+		nc, err := l.Listener.Accept()
+		if err == nil || !slices.ContainsFunc(scarcity, func(e error) bool { return errors.Is(err, e) }) {
+			return nc, err
+		}
+		if !scarce {
+			scarce = true
+			l.log.Warn("a client's connection has to wait", "err", err)
+		}
+		l.mu.Lock()
+		old, why := l.least(time.Now())
+		l.mu.Unlock()
+		l.turnBack(old, why)
+		time.Sleep(scarceWait)
+	}
+}
+
+// scarcity is what the machine says when it has no descriptor or memory for a connection.
+var scarcity = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM}
+
+// turnBack closes a connection that has left the count for another; nil = none.
+func (l *listener) turnBack(c *clientConn, why string) {
+	if c == nil {
+		return
+	}
+	c.Conn.Close()
+	l.log.Debug("turned back", "why", why, "ms", time.Since(c.came).Milliseconds())
+}
+
+// Close ends Accept, also one that waits for room.
+func (l *listener) Close() error {
+	l.mu.Lock()
+	l.ended = true
+	l.woken.Broadcast()
+	l.mu.Unlock()
+	return l.Listener.Close()
+}
+
 // share leaves this process its part of the connections; those beyond it that have no
 // request are closed.
 func (l *listener) share(processes int) {
@@ -80,7 +139,7 @@
 	}
 	l.mu.Unlock()
 	for _, c := range over {
-		c.Close()
+		l.turnBack(c, "shared")
 	}
 }
 
@@ -88,15 +147,20 @@
 // those that ask write at once.
 const silentAfter = 500 * time.Millisecond
 
-// oldest gives the connection to close for a new one and why that one, nil where there is
-// room: one that has said nothing since it came, for long; else one that has been served
-// and is idle; of these the one that has waited longest. Else, of those whose first request
-// is not whole, the one that has brought nothing for longest: who writes slowly still
-// writes, and one that has just come may not have been read yet.
+// oldest gives the connection to close for a new one, nil where there is room.
 func (l *listener) oldest(now time.Time) (c *clientConn, why string) {
 	if l.limit == 0 || l.open < l.limit {
 		return nil, ""
 	}
+	return l.least(now)
+}
+
+// least takes out the connection that is the first to go, nil where all have requests, and
+// says why that one: one that has said nothing since it came, for long; else one that has been
+// served and is idle; of these the one that has waited longest. Else, of those whose first
+// request is not whole, the one that has brought nothing for longest: who writes slowly still
+// writes, and one that has just come may not have been read yet.
+func (l *listener) least(now time.Time) (c *clientConn, why string) {
 	var idle, unfinished *clientConn
 	for e := l.waiting.Front(); e != nil; e = e.Next() {
 		v := e.Value.(*clientConn)
@@ -105,7 +169,7 @@
 		case v.served && idle == nil:
 			idle = v
 		case !v.served && !reading && now.Sub(v.came) >= silentAfter:
-			l.leave(v)
+			l.evict(v)
 			return v, "silent"
 		case !v.served && (unfinished == nil || v.latest.Load() < unfinished.latest.Load()):
 			unfinished = v
@@ -119,10 +183,17 @@
 	default:
 		return nil, ""
 	}
-	l.leave(c)
+	l.evict(c)
 	return c, why
 }
 
+// evict takes a connection out of the count that is about to be closed here.
+func (l *listener) evict(c *clientConn) {
+	l.leave(c)
+	c.evicted = true
+	l.closing++
+}
+
 // leave takes a connection out of the count.
 func (l *listener) leave(c *clientConn) {
 	if c.left {
@@ -153,6 +224,8 @@
 	served bool          // it has had a request
 	left   bool
 
+	evicted bool // closed for another one, and its reader has yet to find out
+
 	// Bytes that have been read, and those of the requests that have been taken; of
 	// whoever reads requests.
 	got, taken int
@@ -204,10 +277,15 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Close takes the connection out of the listener's count.
+// Close takes the connection out of the listener's count; it is called by who reads it.
 func (c *clientConn) Close() error {
 	c.l.mu.Lock()
 	c.l.leave(c)
+	if c.evicted {
+		c.evicted = false
+		c.l.closing--
+		c.l.woken.Signal()
+	}
 	c.l.mu.Unlock()
 	return c.Conn.Close()
 }
--- /dev/null
+++ b/internal/platform/crowd_test.go
@@ -0,0 +1,163 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// queue is a listener of connections that a test makes, or of errors in their place.
+type queue struct {
+	next  chan any // net.Conn or error
+	done  chan struct{}
+	once  sync.Once
+	taken atomic.Int32
+}
+
+func newQueue() *queue { return &queue{next: make(chan any, 99), done: make(chan struct{})} }
+
+func (q *queue) Accept() (net.Conn, error) {
+	select {
+	case v := <-q.next:
+		if err, ok := v.(error); ok {
+			return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
+		}
+		q.taken.Add(1)
+		return v.(net.Conn), nil
+	case <-q.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (q *queue) Close() error   { q.once.Do(func() { close(q.done) }); return nil }
+func (q *queue) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+
+// sleepy is a connection whose reader wakes late: a machine short of processor time has
+// closed many by the time that those who read them run.
+type sleepy struct {
+	net.Conn
+	wake   chan struct{}
+	closed atomic.Bool
+}
+
+func (c *sleepy) Read(p []byte) (int, error) {
+	<-c.wake
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Read(p)
+}
+
+// SetReadDeadline tells nobody that the connection is closed.
+func (c *sleepy) SetReadDeadline(time.Time) error { return nil }
+
+func (c *sleepy) Close() error { c.closed.Store(true); return c.Conn.Close() }
+
+// ready asks whether the server takes clients, on a client's end of a connection.
+func ready(t *testing.T, c net.Conn) {
+	t.Helper()
+	if _, err := io.WriteString(c, "GET "+readyPath+" HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(r.Body)
+	if r.StatusCode != 200 || err != nil {
+		t.Errorf("%s, %q, %v", r.Status, body, err)
+	}
+}
+
+// quiet serves a queue of connections with room for so many, to the test's end.
+func quiet(t *testing.T, limit int) *queue {
+	t.Helper()
+	s, q := NewServer(nil, slog.New(slog.DiscardHandler), limit), newQueue()
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(q) }()
+	t.Cleanup(func() {
+		if err := s.Shutdown(context.Background()); err != nil {
+			t.Error(err)
+		}
+		if err := <-ended; err != nil {
+			t.Errorf("the server ended with %v", err)
+		}
+		time.Sleep(time.Minute) // of the bubble's clock: fasthttp's pool looks now and then whether it has ended
+	})
+	return q
+}
+
+// Connections that were closed for new ones are in the house until their readers have
+// woken. The next ones wait in the system's queue meanwhile: none is turned back, and no
+// more descriptors are taken.
+func TestACrowdWaitsWhileThoseClosedForItAreStillThere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit, crowd = 8, 40
+		q := quiet(t, limit)
+		wake := make(chan struct{})
+		var far []net.Conn
+		for range crowd {
+			near, c := net.Pipe()
+			far = append(far, c)
+			q.next <- &sleepy{Conn: near, wake: wake}
+		}
+		synctest.Wait()
+		if n := int(q.taken.Load()); n > limit+2 {
+			t.Errorf("%d connections taken with room for %d, of which none has woken", n, limit)
+		}
+		close(wake)
+		ready(t, far[crowd-1]) // it came last, and nothing closes it
+		for _, c := range far[:crowd-limit] {
+			if text, err := io.ReadAll(c); len(text) > 0 || err != nil {
+				t.Errorf("one that said nothing was answered %q, %v", text, err)
+			}
+		}
+	})
+}
+
+// A machine out of descriptors, or of memory for sockets, is waited for: the server stays,
+// and one connection without a request goes for the next.
+func TestOutOfDescriptorsTheServerStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := quiet(t, 8)
+		near, silent := net.Pipe()
+		q.next <- near
+		for _, err := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS} {
+			q.next <- err
+		}
+		near, c := net.Pipe()
+		q.next <- near
+		ready(t, c)
+		if _, err := silent.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+			t.Errorf("the silent one: %v", err)
+		}
+	})
+}
+
+// A stop does not wait for room.
+func TestAStopEndsTheWaitForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := quiet(t, 2)
+		wake := make(chan struct{})
+		for range 9 {
+			near, _ := net.Pipe()
+			q.next <- &sleepy{Conn: near, wake: wake}
+		}
+		synctest.Wait()
+		go func() {
+			<-q.done // the stop has closed the listener
+			close(wake)
+		}()
+	})
+}
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -54,13 +54,14 @@
 	adopted  sync.WaitGroup
 }
 
-// NewServer makes a server for at most limit connections at once. Beyond
-// that, its listener closes connections; fasthttp counts these a little longer.
+// NewServer makes a server for at most limit connections at once: its listener sees to
+// that. fasthttp's own limit answers beyond it, without a time to return, and counts
+// connections that are being closed; it is left at what is never reached.
 func NewServer(gw Handler, log *slog.Logger, limit int) *Server {
 	s := &Server{gw: gw, log: log, in: newListener(nil, limit)}
 	s.in.log = log
 	s.http = &fasthttp.Server{
-		Handler: s.handle, ErrorHandler: s.malformed, Concurrency: 2 * limit, MaxRequestBodySize: maxBody,
+		Handler: s.handle, ErrorHandler: s.malformed, MaxRequestBodySize: maxBody,
 		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, NoDefaultServerHeader: true, NoDefaultDate: true,
 		CloseOnShutdown: true, Logger: discard{},
 		ReduceMemoryUsage: true, // or each idle connection would keep its last request's body
