Share out calls to a discovery that all ask between two processes of a gateway

An agent of one's own costs nobody and is asked as before. Watches that are answered stay: one call in 2 s, whose hold the rule bounds. Not taken: the older process stops asking (it would send by an old list until SIGTERM).

--- a/cmd/ashwood/main.go
+++ b/cmd/ashwood/main.go
@@ -211,6 +211,7 @@
 		share: func(processes int) {
 			r.Share(processes)
 			s.Share(processes)
+			d.Share(processes)
 		},
 		yield: s.Yield, give: s.Give, take: s.Adopt, end: r.EndWaiting,
 	}, nil
--- a/internal/pacing/reopen.go
+++ b/internal/pacing/reopen.go
@@ -25,7 +25,9 @@
 // answered any more: those are spread by the fleet's size. A call that it left silent
 // is opened anew sooner, as the rule has it.
 type Reopen struct {
+	gateways       int
 	shared         bool
+	most           float64 // of a wait after a failed call at a shared discovery
 	silent, failed Backoff
 	doubt          bool // the last call was not answered
 }
@@ -37,16 +39,24 @@
 		b := Backoff{First: agentFirst, Last: agentLast, Rand: r}
 		return &Reopen{silent: b, failed: b}
 	}
-	most := failedMost
+	p := &Reopen{gateways: gateways, shared: true, most: failedMost, silent: Backoff{Rand: r}, failed: Backoff{Rand: r}}
 	if askMs > 0 {
-		most = min(most, askMs)
+		p.most = min(p.most, askMs)
 	}
-	first := min(max(agentFirst, float64(gateways)*callEvery), most)
-	silent := min(first, silentMost)
-	return &Reopen{
-		shared: true, failed: Backoff{First: first, Last: min(4*first, most), Rand: r},
-		silent: Backoff{First: silent, Last: min(4*silent, silentMost), Rand: r},
+	p.Share(1)
+	return p
+}
+
+// Share says how many processes make calls in the place of one gateway: each makes its part
+// of them at a discovery that all gateways share, as far as the rule bears longer waits.
+func (p *Reopen) Share(processes int) {
+	if !p.shared {
+		return
 	}
+	first := min(max(agentFirst, float64(p.gateways*processes)*callEvery), p.most)
+	p.failed.First, p.failed.Last = first, min(4*first, p.most)
+	p.silent.First = min(first, silentMost)
+	p.silent.Last = min(4*p.silent.First, silentMost)
 }
 
 // Call gives how long the next call may wait at discovery, and after how long in all,
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -8,6 +8,7 @@
 	"math/rand"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -28,6 +29,7 @@
 	from   int64 // the version in hand
 	inHand bool
 	pace   *pacing.Reopen
+	shares atomic.Int32 // processes that ask in the place of one gateway; 0 = 1
 
 	mu    sync.Mutex
 	addr  string
@@ -48,6 +50,9 @@
 	d.pace = pacing.NewReopen(set.Nodes, set.Subscribe, clock.Millis(set.Rules.AskWithin), rand.New(rand.NewSource(seed)))
 }
 
+// Share says how many processes, this one among them, ask in the place of one gateway.
+func (d *Discovery) Share(processes int) { d.shares.Store(int32(processes)) }
+
 // Known says which version of the list is in hand, so that Run watches from there.
 func (d *Discovery) Known(version int64) { d.from, d.inHand = version, true }
 
@@ -111,6 +116,7 @@
 			if failed++; failed == 1 {
 				d.log.Warn("discovery: no answer, the list in hand stays", "err", err)
 			}
+			d.pace.Share(max(int(d.shares.Load()), 1))
 			clock.Wait(ctx, d.clock, d.pace.Failed(silent(err)))
 			continue
 		}
--- a/router/parts.go
+++ b/router/parts.go
@@ -64,6 +64,10 @@
 // differ. It is to be called before Start.
 func (p *Platform) Fleet(set ashwood.Settings, seed int64) { p.d.Fleet(set, seed) }
 
+// Share says how many processes ask in the place of one gateway while one takes the
+// other's place: at a discovery that all ask, each makes its part of the calls.
+func (p *Platform) Share(processes int) { p.d.Share(processes) }
+
 // Run watches until ctx ends.
 func (p *Platform) Run(ctx context.Context, update func(ashwood.ListForm, []ashwood.Server)) error {
 	p.d.Run(ctx, update)
