Keep waits that later sends overtook out of the pace, orders' and timed-out ones too

Cause: result() observed NoAnswer (an order waits to its client's 6 s) and called-off writes into the pace with their whole wait; one such order takes the time after which a write is overdue from 0.1 to 1.3 s (the test), and some forty later writes bring it back. Excluded: the engine (it began what was sent later). Change: an attempt that its server's later work overtook tells nothing of the pace, whatever its class and end; the field lost, which said so of reads alone, is gone.

--- a/outcomes.go
+++ b/outcomes.go
@@ -111,13 +111,13 @@
 		s.judge(a.srv, r, false)
 	case ServerError, ConnectionLost:
 		s.judge(a.srv, r, false)
-	case NoAnswer:
-		s.pace[a.stage].Observe(s.now, e.Latency, a.queue)
-		s.judge(a.srv, r, false)
-	case CalledOff:
-		if !a.begun && !a.lost { // a client that leaves a begun answer tells nothing of the wait before it
+	case NoAnswer, CalledOff: // a client that leaves a begun answer tells nothing of the wait before it
+		if !a.begun && !a.overtaken() {
 			s.pace[a.stage].Observe(s.now, e.Latency, a.queue)
 		}
+		if e.Status == NoAnswer {
+			s.judge(a.srv, r, false)
+		}
 	}
 }
 
@@ -173,11 +173,10 @@
 	wait := s.now - a.sent
 	switch s.after(max(limit-wait, limit/2), timer{r.ID, n}); {
 	case wait < limit: // the pace has changed since
-	case a.srv.began[a.stage] > a.sent && (!a.write || wait >= 2*limit): // at writers, small states overtake
-		a.lost = !a.write
+	case a.overtaken() && (!a.write || wait >= 2*limit): // at writers, small states overtake
 		s.leave(r, n)
 	case a.srv.alive > a.sent || s.shared(a.srv):
-		if a.write && a.srv.began[a.stage] <= a.sent { // it will have taken longer yet; else it may be lost
+		if a.write && !a.overtaken() { // it will have taken longer yet
 			s.pace[a.stage].Observe(s.now, wait, a.queue)
 		}
 	case float64(wait) < math.Pow(s.crowd, 4)*float64(r.class.Aim):
--- a/state.go
+++ b/state.go
@@ -70,7 +70,6 @@
 	write  bool // it may answer
 	out    bool
 	begun  bool // its answer has
-	lost   bool // on the way: its server never got it
 	stage  stage
 	sent   time.Duration
 	tokens float64 // to be read or fetched
@@ -78,6 +77,10 @@
 	kept   float64 // tokens that the table was sure of
 }
 
+// overtaken tells that its server has begun what was sent later: its connection may have
+// fallen silent, and then its wait says nothing of how long the work takes.
+func (a *attempt) overtaken() bool { return a.srv.began[a.stage] > a.sent }
+
 type request struct {
 	Request
 	class    *Class
--- a/waits_test.go
+++ b/waits_test.go
@@ -38,3 +38,28 @@
 		}
 	}
 }
+
+// An order whose connection fell silent waits for as long as its client does, since it
+// may have run. Where its writer has begun what was sent later, that says nothing of how
+// long writes take: the next silent one is to be found out as soon as this one was.
+func TestAnOrderThatOthersOvertookDoesNotSlowThePace(t *testing.T) {
+	for _, overtaken := range []bool{true, false} {
+		n := newNode(t, settings(), reader("r"), writer("w", 0))
+		for range 20 {
+			n.s.pace[writing].Observe(n.now, 50*ms, 320)
+		}
+		n.do(Request{ID: "order", Class: "pay", PromptTokens: 320, TimeLeft: 5 * time.Second})
+		n.end("order", 0, "r", Parsed)
+		a := n.s.reqs["order"].attempts[1]
+		if overtaken {
+			n.s.servers["w"].began[writing] = a.sent + 50*ms
+		}
+		before := n.s.limit(n.s.reqs["order"], a)
+		n.now += 5 * time.Second
+		n.do(Outcome{ID: "order", Attempt: 1, Server: "w", Status: NoAnswer, Latency: 5 * time.Second})
+		after := n.s.limit(&request{class: n.s.classes["pay"]}, a)
+		if slower := after > before; slower == overtaken {
+			t.Errorf("overtaken %v: overdue after %v, %v before", overtaken, after, before)
+		}
+	}
+}
