Have a crowd close no connection whose answer is still being written

Read, then seen in a test: body.Close and Answer's end put a connection among those that may be closed for new ones while fasthttp still had to write the refusal, or an answer's last chunk (it closes the body stream before it flushes). In a crowd such a connection was closed with its answer unsent: 'unexpected EOF' at the client, and to the platform a request that was taken and lost. Excluded: streams in their middle and waiting requests (they are in no list). Wrong lines: clientConn.end, which listed the connection at once. Change: it is listed when the next request is read for, which fasthttp does behind its flush.

--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -226,9 +226,10 @@
 
 	evicted bool // closed for another one, and its reader has yet to find out
 
-	// Bytes that have been read, and those of the requests that have been taken; of
-	// whoever reads requests.
+	// Of whoever reads requests: bytes that have been read, those of the requests that have
+	// been taken, and whether the last of these has ended.
 	got, taken int
+	ended      bool
 
 	mu    sync.Mutex
 	ahead []byte
@@ -258,8 +259,13 @@
 	return c.taken == c.got
 }
 
-// end tells that its answer is ready or, where that is a stream, over.
-func (c *clientConn) end() {
+// end tells that its answer is ready or, where that is a stream, over. What is left of it may
+// still have to be written: the connection waits for a next request once that is read for.
+func (c *clientConn) end() { c.ended = true }
+
+// again tells that the next request is being read for: all of the answer before has left.
+func (c *clientConn) again() {
+	c.ended = false
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
 	c.reading.Store(false)
@@ -333,6 +339,9 @@
 
 // Read gives first what the watch has read.
 func (c *clientConn) Read(p []byte) (int, error) {
+	if c.ended {
+		c.again()
+	}
 	c.mu.Lock()
 	n := copy(p, c.ahead)
 	c.ahead = c.ahead[n:]
--- a/internal/platform/crowd_test.go
+++ b/internal/platform/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -15,6 +16,11 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"ashwood.example/ashwood"
+	"ashwood.example/ashwood/gateway"
 )
 
 // queue is a listener of connections that a test makes, or of errors in their place.
@@ -81,9 +87,9 @@
 }
 
 // quiet serves a queue of connections with room for so many, to the test's end.
-func quiet(t *testing.T, limit int) (q *queue, s *Server, ended <-chan error) {
+func quiet(t *testing.T, gw Handler, limit int) (q *queue, s *Server, ended <-chan error) {
 	t.Helper()
-	s, q = NewServer(nil, slog.New(slog.DiscardHandler), limit), newQueue()
+	s, q = NewServer(gw, slog.New(slog.DiscardHandler), limit), newQueue()
 	end := make(chan error, 1)
 	go func() { end <- s.Serve(q) }()
 	t.Cleanup(func() {
@@ -101,7 +107,7 @@
 func TestACrowdWaitsWhileThoseClosedForItAreStillThere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const limit, crowd = 8, 40
-		q, _, _ := quiet(t, limit)
+		q, _, _ := quiet(t, nil, limit)
 		wake := make(chan struct{})
 		var far []net.Conn
 		for range crowd {
@@ -127,7 +133,7 @@
 // and one connection without a request goes for the next.
 func TestOutOfDescriptorsTheServerStays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q, _, ended := quiet(t, 8)
+		q, _, ended := quiet(t, nil, 8)
 		begun := time.Now()
 		near, silent := net.Pipe()
 		q.next <- near
@@ -150,7 +156,7 @@
 // A stop does not wait for room: nothing is accepted from then on.
 func TestAStopEndsTheWaitForRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q, s, ended := quiet(t, 2)
+		q, s, ended := quiet(t, nil, 2)
 		wake := make(chan struct{})
 		for range 9 {
 			near, _ := net.Pipe()
@@ -169,3 +175,62 @@
 		}
 	})
 }
+
+// says is a Handler that gives every request the same reply.
+type says struct{ reply gateway.Reply }
+
+func (s says) Serve(context.Context, *gateway.Request) (gateway.Reply, error) { return s.reply, nil }
+func (s says) TurnAway(string) float64                                        { return 0 }
+
+// piece is a stream of one.
+type piece struct{ over bool }
+
+func (p *piece) Next() ([]byte, error) {
+	if p.over {
+		return nil, io.EOF
+	}
+	p.over = true
+	return []byte(event1), nil
+}
+
+func (*piece) Report() ashwood.Report { return nil }
+func (*piece) Close() error           { return nil }
+
+// A connection whose answer, or the last chunk of it, is still being written is not closed
+// for a new one, although its request has ended for all but its client.
+func TestNoAnswerIsCutOffInACrowd(t *testing.T) {
+	new(fasthttp.ResponseHeader).Header() // starts fasthttp's clock of dates, which never ends, outside of the bubbles
+	for name, reply := range map[string]gateway.Reply{
+		"refused": {Kind: gateway.Refused}, "a stream's end": {Kind: gateway.Served, Stream: &piece{}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			q, _, _ := quiet(t, says{reply}, 3)
+			near, c := net.Pipe() // a write on it waits for its reader
+			q.next <- near
+			if _, err := io.WriteString(c, request("chat", "", "{}")); err != nil {
+				t.Fatal(err)
+			}
+			var got []byte
+			var first [4096]byte
+			if reply.Stream != nil { // the head and the event; its end is still to come
+				n, err := c.Read(first[:])
+				if got = first[:n]; err != nil {
+					t.Fatal(err)
+				}
+			}
+			synctest.Wait()
+			for range 9 {
+				near, _ := net.Pipe()
+				q.next <- near
+			}
+			synctest.Wait()
+			r, err := http.ReadResponse(bufio.NewReader(io.MultiReader(bytes.NewReader(got), c)), nil)
+			if err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+			if body, err := io.ReadAll(r.Body); err != nil || len(body) == 0 {
+				t.Errorf("%s: %q, %v", name, body, err)
+			}
+		})
+	}
+}
