Leave a host's own listener and connections to its server when descriptors are out

Read again after the change of the listener: without a limit (the middleware's Listener) the wait for descriptors would have closed connections of a host's other routes, of which nothing is known here. Such a listener gives its host the error, as before. A next request that had been read ahead no longer counts as over before its time. Test: EMFILE reaches the host.

--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -76,7 +76,8 @@
 }
 
 // accept takes the next connection, once there is room for it. A machine that has no
-// descriptor left is waited for: fasthttp would end the server.
+// descriptor left is waited for: fasthttp would end the server. Without a limit, that and
+// all else is for whoever serves the listener.
 func (l *listener) accept() (net.Conn, error) {
 	for scarce := false; ; {
 		l.mu.Lock()
@@ -85,7 +86,7 @@
 		}
 		l.mu.Unlock()
 		nc, err := l.Listener.Accept()
-		if err == nil || !slices.ContainsFunc(scarcity, func(e error) bool { return errors.Is(err, e) }) {
+		if err == nil || l.most == 0 || !slices.ContainsFunc(scarcity, func(e error) bool { return errors.Is(err, e) }) {
 			return nc, err
 		}
 		if !scarce {
@@ -241,7 +242,7 @@
 func (c *clientConn) begin() bool {
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
-	c.served = true
+	c.served, c.ended = true, false
 	if c.place != nil {
 		c.l.waiting.Remove(c.place)
 		c.place = nil
--- a/internal/platform/crowd_test.go
+++ b/internal/platform/crowd_test.go
@@ -153,6 +153,15 @@
 	})
 }
 
+// A host's own server decides what becomes of its listener and its connections.
+func TestAHostIsToldThatDescriptorsAreOut(t *testing.T) {
+	q := newQueue()
+	q.next <- syscall.EMFILE
+	if _, err := Listener(q).Accept(); !errors.Is(err, syscall.EMFILE) {
+		t.Errorf("accepted with %v", err)
+	}
+}
+
 // A stop does not wait for room: nothing is accepted from then on.
 func TestAStopEndsTheWaitForRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
