Have a given-up attempt's engine see its end before the next attempt or a refusal

Each time a read was given up, its connection closed, and the next attempt written in the same moment to a connection that was kept, or the refusal to the client's. Where the next attempt had to connect first, some ms later, it was never a break. Excluded: close(2) being late (logged before and after), a library's resend, the place asked for, the client's retry. Wrong lines: exchange's and drain's discard before the attempt's outcome goes on: a close is a packet under way, and another connection's bytes may come to their engine first. Change: the write side is shut, the engine's own end is read for, 20 ms at most, and then the attempt is over (attempts alone, not probes, places and releases). Open: gRPC boxes, where nothing tells that a cancelled stream's end was seen.

--- a/gateway/types.go
+++ b/gateway/types.go
@@ -136,7 +136,8 @@
 // left), TurnedAway, Parsed, Served, ServerError and ConnectionLost.
 type Transport interface {
 	// Send carries an attempt out until its first piece or its end. When ctx
-	// ends, it gives the attempt up at once; ctx goes on to bound the stream.
+	// ends, it gives the attempt up at once, and returns when the engine has noticed
+	// where that can be seen, some ms later at most; ctx goes on to bound the stream.
 	Send(ctx context.Context, a Attempt) Answer
 	// Reserve asks a writer to hold a place for a request that is being read.
 	// Ready is asked right before the first byte is written.
--- a/internal/platform/engines.go
+++ b/internal/platform/engines.go
@@ -98,41 +98,57 @@
 	e.pool.close()
 }
 
+// call is one request to an engine.
+type call struct {
+	addr   string
+	with   which // connection it may go on
+	head   *fasthttp.RequestHeader
+	body   []byte
+	ready  func() bool // asked right before the first byte; nil = always
+	sent   func()      // called right after the last byte; nil = nobody is told
+	giveUp func(*conn) // ends a connection whose answer is not waited for; nil = at once
+}
+
 // exchange writes one request and reads the head of its answer. The caller
 // owns the connection unless there is an error; wrote tells whether the last
 // byte left. Only before that does an error prove that the engine never ran it.
 // A kept connection may be dead unnoticed: what may be sent once goes on a new one.
-func (e *Engines) exchange(ctx context.Context, addr string, with which, head *fasthttp.RequestHeader, body []byte,
-	ready func() bool, sent func(), answer *fasthttp.ResponseHeader) (c *conn, wrote bool, err error) {
-	c, err = e.pool.get(ctx, addr, with)
+func (e *Engines) exchange(ctx context.Context, v call, answer *fasthttp.ResponseHeader) (c *conn, wrote bool, err error) {
+	c, err = e.pool.get(ctx, v.addr, v.with)
 	if err != nil {
 		return nil, false, err
 	}
-	used := c // c is cleared on an error, while the function below may be running
-	stop := context.AfterFunc(ctx, func() { used.SetDeadline(time.Unix(1, 0)) })
+	stop := c.endWith(ctx)
 	defer func() {
 		if !stop() && err == nil {
 			err = context.Cause(ctx)
 		}
-		if err != nil {
-			if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) {
-				e.pool.broke(c)
-			}
+		if err == nil {
+			return
+		}
+		if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) {
+			e.pool.broke(c)
+		}
+		if wrote && v.giveUp != nil {
+			v.giveUp(c)
+		} else {
 			e.pool.discard(c)
-			c = nil
 		}
+		c = nil
 	}()
-	if !ready() {
+	if v.ready != nil && !v.ready() {
 		return c, false, errNotReady
 	}
-	out := net.Buffers{head.AppendBytes(nil)}
-	if len(body) > 0 {
-		out = append(out, body)
+	out := net.Buffers{v.head.AppendBytes(nil)}
+	if len(v.body) > 0 {
+		out = append(out, v.body)
 	}
 	if _, err = out.WriteTo(c.Conn); err != nil {
 		return c, false, err
 	}
-	sent()
+	if v.sent != nil {
+		v.sent()
+	}
 	return c, true, e.readHead(c, answer)
 }
 
@@ -190,7 +206,9 @@
 	if a.Once {
 		with = newConn
 	}
-	c, wrote, err := e.exchange(ctx, a.Engine.Address, with, h, a.Body, a.Ready, a.Sent, &head)
+	c, wrote, err := e.exchange(ctx, call{
+		addr: a.Engine.Address, with: with, head: h, body: a.Body, ready: a.Ready, sent: a.Sent, giveUp: e.pool.abandon,
+	}, &head)
 	if err != nil {
 		return failed(ctx, wrote, err)
 	}
@@ -202,13 +220,13 @@
 		err := s.first()
 		stop()
 		if err != nil {
-			s.Close()
+			s.abandon()
 			return failed(ctx, true, err)
 		}
 		res.Status = ashwood.Served
 		return gateway.Answer{Result: res, Stream: s}
 	}
-	body, err := e.drain(ctx, c, &head)
+	body, err := e.drain(ctx, c, &head, e.pool.abandon)
 	away := len(head.Peek(headerNotRun)) > 0
 	switch {
 	case code == fasthttp.StatusAccepted && a.Reads:
@@ -244,14 +262,19 @@
 }
 
 // drain reads a short answer's body and gives the connection back.
-func (e *Engines) drain(ctx context.Context, c *conn, head *fasthttp.ResponseHeader) (body []byte, err error) {
-	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	defer e.within(c, wholeWait)()
+// One whose body can't be read is ended by giveUp.
+func (e *Engines) drain(ctx context.Context, c *conn, head *fasthttp.ResponseHeader, giveUp func(*conn)) (body []byte, err error) {
+	stop := c.endWith(ctx)
+	late := e.within(c, wholeWait)
 	defer func() {
-		if stop() && err == nil && !head.ConnectionClose() {
+		late()
+		switch whole := stop() && err == nil; {
+		case whole && !head.ConnectionClose():
 			e.pool.put(c)
-		} else {
+		case whole:
 			e.pool.discard(c)
+		default:
+			giveUp(c)
 		}
 	}()
 	switch n := head.ContentLength(); {
@@ -271,18 +294,14 @@
 	return nil, fmt.Errorf("%w: no usable length", errSpoilt)
 }
 
-func never() {}
-
-func always() bool { return true }
-
 // Reserve asks a writer to hold a place.
 func (e *Engines) Reserve(ctx context.Context, engine ashwood.Server, id ashwood.RequestID, ready func() bool) gateway.Place {
 	var head fasthttp.ResponseHeader
 	h := header(fasthttp.MethodPost, roomsPath+string(id), engine.Address)
 	h.SetContentLength(0)
-	c, wrote, err := e.exchange(ctx, engine.Address, anyConn, h, nil, ready, never, &head)
+	c, wrote, err := e.exchange(ctx, call{addr: engine.Address, head: h, ready: ready}, &head)
 	if err == nil {
-		_, err = e.drain(ctx, c, &head)
+		_, err = e.drain(ctx, c, &head, e.pool.discard)
 	}
 	switch code := head.StatusCode(); {
 	case !wrote:
@@ -306,9 +325,9 @@
 	if fresh {
 		with = newSpare
 	}
-	c, _, err := e.exchange(ctx, engine.Address, with, h, nil, always, never, &head)
+	c, _, err := e.exchange(ctx, call{addr: engine.Address, with: with, head: h}, &head)
 	if err == nil {
-		e.drain(ctx, c, &head)
+		e.drain(ctx, c, &head, e.pool.discard)
 	}
 	return err
 }
@@ -317,10 +336,10 @@
 func (e *Engines) Probe(ctx context.Context, engine ashwood.Server) (ashwood.Status, ashwood.Report) {
 	var head fasthttp.ResponseHeader
 	h := header(fasthttp.MethodGet, loadPath, engine.Address)
-	c, wrote, err := e.exchange(ctx, engine.Address, anyConn, h, nil, always, never, &head)
+	c, wrote, err := e.exchange(ctx, call{addr: engine.Address, head: h}, &head)
 	var body []byte
 	if err == nil {
-		body, err = e.drain(ctx, c, &head)
+		body, err = e.drain(ctx, c, &head, e.pool.discard)
 	}
 	if err != nil {
 		return failed(ctx, wrote, err).Status, nil
--- a/internal/platform/move.go
+++ b/internal/platform/move.go
@@ -99,7 +99,7 @@
 	if state.Left < 0 {
 		return nil, fmt.Errorf("platform: an answer with %d bytes left", state.Left)
 	}
-	s.stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	s.stop = c.endWith(ctx)
 	e.pool.adopted()
 	return s, nil
 }
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"sync"
@@ -25,6 +26,23 @@
 	idle float64 // since when; 0 = never yet
 }
 
+// endWith has the end of ctx end all reading and writing on the connection, until stop. That
+// tells whether it came before; else the end has been seen to, and disturbs nothing later.
+func (c *conn) endWith(ctx context.Context) (stop func() bool) {
+	ended := make(chan struct{})
+	prevent := context.AfterFunc(ctx, func() {
+		c.SetDeadline(time.Unix(1, 0))
+		close(ended)
+	})
+	return sync.OnceValue(func() bool {
+		if prevent() {
+			return true
+		}
+		<-ended
+		return false
+	})
+}
+
 // pool keeps connections to engines. It never sends anything: whoever takes a
 // connection knows when the last byte of a request has left, and nothing is
 // sent again behind its back.
@@ -160,6 +178,28 @@
 	p.open--
 }
 
+// Bounds of giving up a request: what its engine has noticed no later is taken to be given up
+// all the same. A packet takes some ms between data centres; a machine that vanished says nothing.
+const (
+	noticeWait  = 20.0     // ms
+	noticeBytes = 64 << 10 // of an answer that still comes
+)
+
+// abandon gives up a request whose last byte has been written, and returns once its engine
+// has noticed, or noticeWait later. An engine works for a request for as long as it sees the
+// connection open: the next attempt, or the answer that trying again does no harm, could come
+// before it has seen the end. The write side is shut, and the engine closes or resets in turn.
+func (p *pool) abandon(c *conn) {
+	defer p.discard(c)
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil || c.SetDeadline(time.Time{}) != nil {
+		return
+	}
+	defer p.clock.AfterFunc(noticeWait, func() { c.SetDeadline(time.Unix(1, 0)) })()
+	// Any error is the end that is waited for: the engine's, or that of the time.
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, noticeBytes))
+}
+
 // dropOldest makes room for a new connection.
 func (p *pool) dropOldest() bool {
 	oldest := ""
--- a/internal/platform/stream.go
+++ b/internal/platform/stream.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"strings"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -31,7 +30,7 @@
 
 func (e *Engines) newStream(ctx context.Context, c *conn, head *fasthttp.ResponseHeader) *stream {
 	s := &stream{pool: e.pool, c: c, keep: !head.ConnectionClose()}
-	s.stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	s.stop = c.endWith(ctx)
 	switch n := head.ContentLength(); {
 	case n == -1:
 		s.body = &chunks{br: c.br, begin: func() func() { return e.within(c, wholeWait) }}
@@ -99,6 +98,13 @@
 	return wire.ParseReport(line)
 }
 
+// abandon gives up an answer of which nothing has been passed on: another attempt may follow.
+func (s *stream) abandon() {
+	s.stop()
+	s.pool.abandon(s.c)
+	s.c = nil
+}
+
 // Close gives the connection back, or closes it to end the engine's work.
 func (s *stream) Close() error {
 	if s.c == nil {
