Close clients' connections in two steps, so that no answer or crossing request is reset

Read: fasthttp closes a resting connection after 5 s, at a stop, behind Connection: close and behind what it can't read, with a plain close(2); a request that arrives in that moment meets a reset, which looks like the loss of a request that was taken, and takes answers along that are not read yet. Excluded: the listener's own evictions and slow reads (both log, and nothing was logged). Wrong lines: clientConn.Close and turnBack. Change: the write side is shut, what comes is read to a bound (500 ms, 256 KiB) and dropped, then the descriptor goes. What was read as the connection was shut is not passed on. Connections in the second step count against the sixteenth of the limit that may be closed and still be there, and are the first to go for a new one. A handed-over answer's is closed as before: both processes share the socket. Connections that never had a request are still closed at once in a crowd.

--- /dev/null
+++ b/internal/platform/closing.go
@@ -0,0 +1,167 @@
+package platform
+
+import (
+	"io"
+	"net"
+	"time"
+)
+
+// This file closes clients' connections in two steps. A close over bytes that have not been
+// read resets the connection, and takes answers with it that its client has not read; and a
+// request may be under way in the very moment in which a resting connection is closed. So
+// the write side is shut first: the client sees the end of the answer, or that its request
+// was not read. What still comes is read to a bound and dropped, and then it is closed.
+//
+// A connection's lock comes before its listener's.
+
+// Bounds of the second step.
+const (
+	lingerTime  = 500 * time.Millisecond // for the client to close in turn
+	lingerBytes = maxBody                // that may still come; none of it is sent on
+	hostLingers = 64                     // at once, where a listener has no limit
+)
+
+// Close shuts the connection; its descriptor goes with the second step. It may be called
+// again, and by others than who reads it.
+func (c *clientConn) Close() error {
+	c.l.mu.Lock()
+	c.l.leave(c)
+	c.l.mu.Unlock()
+	c.shutdown()
+	return nil
+}
+
+// shutdown is the first step. Where somebody reads from the connection, the second is left
+// to that moment in which the read ends.
+func (c *clientConn) shutdown() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.shut {
+		if c.cutOff { // who reads it has woken
+			c.l.forget(c)
+		}
+		return
+	}
+	c.shut = true
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	switch {
+	case !ok || half.CloseWrite() != nil: // of another kind, or its client has reset it
+		c.Conn.Close()
+		c.l.forget(c)
+	case c.inRead:
+		c.Conn.SetReadDeadline(time.Unix(1, 0))
+	default:
+		go c.linger()
+	}
+}
+
+// cut closes a connection at once that owes nobody an answer. Its descriptor counts as gone
+// when who reads it has woken, and closes it in turn.
+func (c *clientConn) cut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.shut, c.cutOff = true, true
+	c.Conn.Close()
+}
+
+// receive reads from the network, nothing any more once the connection is shut.
+func (c *clientConn) receive(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.shut && !c.cutOff { // of one that was cut off, the connection itself says so
+		c.mu.Unlock()
+		return 0, net.ErrClosed
+	}
+	c.inRead = true
+	c.mu.Unlock()
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inRead = false
+	if !c.shut {
+		return n, err
+	}
+	if !c.cutOff {
+		go c.linger()
+	}
+	return 0, net.ErrClosed
+}
+
+// readUntil bounds reads of requests; the second step has a bound of its own.
+func (c *clientConn) readUntil(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.shut && !c.cutOff {
+		return net.ErrClosed
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// linger is the second step.
+func (c *clientConn) linger() {
+	l := c.l
+	l.mu.Lock()
+	c.lingers = l.lingering.PushBack(c)
+	l.mu.Unlock()
+	if c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+		// Any error is an end: the client's, or that of the time.
+		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes))
+	}
+	c.Conn.Close()
+	l.forget(c)
+}
+
+// forget tells that a connection's descriptor is gone.
+func (l *listener) forget(c *clientConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.gone {
+		return
+	}
+	c.gone = true
+	if c.lingers != nil {
+		l.lingering.Remove(c.lingers)
+		c.lingers = nil
+	}
+	l.closing--
+	l.woken.Broadcast()
+}
+
+// closingRoom is how many connections may be closed and yet be there, each with its descriptor.
+func (l *listener) closingRoom() int {
+	if l.limit == 0 {
+		return hostLingers
+	}
+	return l.limit / closingShare
+}
+
+// cutOldest ends the second step of the connection that has been in it for longest, and tells
+// whether there was one. Its descriptor is gone once its reader has woken.
+func (l *listener) cutOldest() bool {
+	e := l.lingering.Front()
+	if e == nil {
+		return false
+	}
+	c := e.Value.(*clientConn)
+	l.lingering.Remove(e)
+	c.lingers = nil
+	c.Conn.Close()
+	return true
+}
+
+// wait waits until the descriptors of all connections are gone, for as long as a second step
+// may take.
+func (l *listener) wait() {
+	over := false
+	stop := time.AfterFunc(lingerTime, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		over = true
+		l.woken.Broadcast()
+	})
+	defer stop.Stop()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for !over && l.open+l.closing > 0 {
+		l.woken.Wait()
+	}
+}
--- /dev/null
+++ b/internal/platform/closing_test.go
@@ -0,0 +1,197 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ashwood.example/ashwood/gateway"
+)
+
+// counts is a Handler that counts what it gets, and answers.
+type counts struct {
+	says
+	got atomic.Int32
+}
+
+func (h *counts) Serve(ctx context.Context, r *gateway.Request) (gateway.Reply, error) {
+	h.got.Add(1)
+	return h.says.Serve(ctx, r)
+}
+
+// open serves on a real socket and connects a client to it.
+func open(t *testing.T, gw Handler) (*Server, *net.TCPConn) {
+	t.Helper()
+	s, l := NewServer(gw, slog.New(slog.DiscardHandler), 64), listen(t)
+	go s.Serve(l)
+	nc, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(10 * time.Second)) // the bound of all waits here
+	return s, nc.(*net.TCPConn)
+}
+
+// stop stops a server within a bound.
+func stop(t *testing.T, s *Server) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		t.Error(err)
+	}
+}
+
+// A client's request may be under way in the moment in which its resting connection is
+// closed. The client sees the end, no reset: nothing of its request has been read, so that it
+// may send it again. What comes after the end is not sent on.
+func TestARequestThatCrossesTheCloseIsNotSentOn(t *testing.T) {
+	for name, shut := range map[string]func(*Server){
+		"evicted for another": func(s *Server) {
+			s.in.mu.Lock()
+			c, why := s.in.least(time.Now())
+			s.in.mu.Unlock()
+			s.in.turnBack(c, why)
+		},
+		"at the stop": func(s *Server) { stop(t, s) },
+	} {
+		gw := &counts{says: says{gateway.Reply{Kind: gateway.Refused}}}
+		s, c := open(t, gw)
+		io.WriteString(c, request("chat", "", "{}"))
+		in := bufio.NewReader(c)
+		r, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, r.Body)
+		waiting := func() int {
+			s.in.mu.Lock()
+			defer s.in.mu.Unlock()
+			return s.in.waiting.Len()
+		}
+		until(t, "it rests", func() bool { return waiting() == 1 })
+		over := make(chan struct{})
+		go func() {
+			shut(s)
+			close(over)
+		}()
+		until(t, "it is shut", func() bool { return waiting() == 0 })
+		for range 3 { // the second would meet the reset that the first brings
+			if _, err := io.WriteString(c, request("chat", "", "{}")); err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+		if rest, err := io.ReadAll(in); len(rest) > 0 || err != nil {
+			t.Errorf("%s: its client sees %q, %v in place of the end", name, rest, err)
+		}
+		c.Close()
+		<-over
+		stop(t, s)
+		if n := gw.got.Load(); n != 1 {
+			t.Errorf("%s: %d requests were sent on", name, n)
+		}
+		if s.in.open+s.in.closing+s.in.lingering.Len() != 0 {
+			t.Errorf("%s: left open %d, closing %d, lingering %d", name, s.in.open, s.in.closing, s.in.lingering.Len())
+		}
+	}
+}
+
+// An answer behind which the connection is closed reaches a client that has sent more than
+// was read: a reset would take it away.
+func TestAnAnswerOutlivesUnreadBytes(t *testing.T) {
+	tail := string(make([]byte, 64<<10))
+	for name, in := range map[string]string{
+		"no request": "nonsense\r\n\r\n" + tail, "two lengths": request("chat", "Content-Length: 2\r\n", "{}") + tail,
+		"too long": "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 60000000\r\n\r\n" + tail,
+		"closes":   request("chat", "Connection: close\r\n", "{}") + tail,
+	} {
+		s, c := open(t, says{gateway.Reply{Kind: gateway.Refused}})
+		if _, err := io.WriteString(c, in); err != nil {
+			t.Fatal(err)
+		}
+		until(t, name+": it is closed", func() bool {
+			s.in.mu.Lock()
+			defer s.in.mu.Unlock()
+			return s.in.open == 0
+		})
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if text, err := io.ReadAll(r.Body); len(text) == 0 || err != nil || r.StatusCode < 400 {
+			t.Errorf("%s: %s, %q, %v", name, r.Status, text, err)
+		}
+		c.Close()
+		stop(t, s)
+	}
+}
+
+// A client that never closes keeps a descriptor for no longer than the second step may take,
+// and less long where room is wanted.
+func TestTheSecondStepIsBounded(t *testing.T) {
+	s, c := open(t, says{gateway.Reply{Kind: gateway.Refused}})
+	io.WriteString(c, request("chat", "Connection: close\r\n", "{}"))
+	if _, err := io.ReadAll(c); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "its time is up", func() bool {
+		s.in.mu.Lock()
+		defer s.in.mu.Unlock()
+		return s.in.closing == 0
+	})
+	stop(t, s)
+
+	l := newListener(nil, 16)
+	for range 3 {
+		near, far, err := ends(t)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer far.Close()
+		v := &clientConn{Conn: near, l: l}
+		l.open++
+		v.Close()
+		v.Close() // again, as a server does
+	}
+	until(t, "all linger", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.lingering.Len() == 3
+	})
+	l.mu.Lock()
+	for l.cutOldest() {
+	}
+	l.mu.Unlock()
+	l.wait()
+	if l.open != 0 || l.closing != 0 {
+		t.Errorf("open %d, closing %d", l.open, l.closing)
+	}
+}
+
+// ends are both ends of a connection on the loopback.
+func ends(t *testing.T) (near, far net.Conn, err error) {
+	t.Helper()
+	l := listen(t)
+	if far, err = net.Dial("tcp", l.Addr().String()); err == nil {
+		near, err = l.Accept()
+	}
+	return near, far, err
+}
+
+// until waits for a condition, within a bound.
+func until(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(errors.New("not seen in time: " + what))
+		}
+	}
+}
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -36,13 +36,14 @@
 	give atomic.Pointer[Give] // to another process; nil = answers end here
 	log  *slog.Logger
 
-	mu      sync.Mutex
-	limit   int // for this one of several
-	open    int
-	waiting list.List // of *clientConn without an open request, longest first
-	closing int       // closed for others while who reads them has yet to wake
-	woken   sync.Cond // one of those has
-	ended   bool
+	mu        sync.Mutex
+	limit     int // for this one of several
+	open      int
+	waiting   list.List // of *clientConn without an open request, longest first
+	closing   int       // that have left the count, and whose descriptors are there yet
+	lingering list.List // of these, *clientConn whose clients may still send, the first first
+	woken     sync.Cond // a descriptor is gone
+	ended     bool
 }
 
 // busyShare is the part of a listener's connections that may have a request
@@ -81,7 +82,8 @@
 func (l *listener) accept() (net.Conn, error) {
 	for scarce := false; ; {
 		l.mu.Lock()
-		for !l.ended && l.closing > l.limit/closingShare {
+		for !l.ended && l.closing > l.closingRoom() {
+			l.cutOldest()
 			l.woken.Wait()
 		}
 		l.mu.Unlock()
@@ -94,7 +96,11 @@
 			l.log.Warn("a client's connection has to wait", "err", err)
 		}
 		l.mu.Lock()
-		old, why := l.least(time.Now())
+		var old *clientConn
+		var why string
+		if !l.cutOldest() {
+			old, why = l.least(time.Now())
+		}
 		l.mu.Unlock()
 		l.turnBack(old, why)
 		time.Sleep(scarceWait)
@@ -109,7 +115,11 @@
 	if c == nil {
 		return
 	}
-	c.Conn.Close()
+	if c.served { // its last answer may be under way
+		c.shutdown()
+	} else {
+		c.cut()
+	}
 	l.log.Debug("turned back", "why", why, "ms", time.Since(c.came).Milliseconds())
 }
 
@@ -170,7 +180,7 @@
 		case v.served && idle == nil:
 			idle = v
 		case !v.served && !reading && now.Sub(v.came) >= silentAfter:
-			l.evict(v)
+			l.leave(v)
 			return v, "silent"
 		case !v.served && (unfinished == nil || v.latest.Load() < unfinished.latest.Load()):
 			unfinished = v
@@ -184,24 +194,18 @@
 	default:
 		return nil, ""
 	}
-	l.evict(c)
-	return c, why
-}
-
-// evict takes a connection out of the count that is about to be closed here.
-func (l *listener) evict(c *clientConn) {
 	l.leave(c)
-	c.evicted = true
-	l.closing++
+	return c, why
 }
 
-// leave takes a connection out of the count.
+// leave takes a connection out of the count that is about to be closed.
 func (l *listener) leave(c *clientConn) {
 	if c.left {
 		return
 	}
 	c.left = true
 	l.open--
+	l.closing++
 	if c.place != nil {
 		l.waiting.Remove(c.place)
 		c.place = nil
@@ -225,16 +229,20 @@
 	served bool          // it has had a request
 	left   bool
 
-	evicted bool // closed for another one, and its reader has yet to find out
+	lingers *list.Element // among those whose clients may still send
+	gone    bool          // its descriptor is
 
 	// Of whoever reads requests: bytes that have been read, those of the requests that have
 	// been taken, and whether the last of these has ended.
 	got, taken int
 	ended      bool
 
-	mu    sync.Mutex
-	ahead []byte
-	quit  chan struct{} // closed when the watch has ended; nil without one
+	mu     sync.Mutex
+	ahead  []byte
+	quit   chan struct{} // closed when the watch has ended; nil without one
+	inRead bool          // somebody reads from the network
+	shut   bool          // nothing is written any more, and nothing read is passed on
+	cutOff bool          // closed without a second step
 }
 
 // begin tells that a whole request has been read, and gives whether there is
@@ -281,20 +289,7 @@
 	if !c.written.Load() && t.After(c.first) {
 		t = c.first
 	}
-	return c.Conn.SetReadDeadline(t)
-}
-
-// Close takes the connection out of the listener's count; it is called by who reads it.
-func (c *clientConn) Close() error {
-	c.l.mu.Lock()
-	c.l.leave(c)
-	if c.evicted {
-		c.evicted = false
-		c.l.closing--
-		c.l.woken.Signal()
-	}
-	c.l.mu.Unlock()
-	return c.Conn.Close()
+	return c.readUntil(t)
 }
 
 // watch calls gone once if the client closes its side before unwatch.
@@ -304,13 +299,16 @@
 	if len(c.ahead) > 0 { // it has sent more already, so it is there
 		return
 	}
+	if c.shut {
+		return
+	}
 	c.Conn.SetReadDeadline(time.Time{})
 	quit := make(chan struct{})
 	c.quit = quit
 	go func() {
 		defer close(quit)
 		var b [1]byte
-		n, err := c.Conn.Read(b[:])
+		n, err := c.receive(b[:])
 		if n > 0 {
 			c.mu.Lock()
 			c.ahead = append(c.ahead, b[0])
@@ -333,9 +331,9 @@
 	if quit == nil {
 		return
 	}
-	c.Conn.SetReadDeadline(time.Unix(1, 0))
+	c.readUntil(time.Unix(1, 0))
 	<-quit
-	c.Conn.SetReadDeadline(time.Time{})
+	c.readUntil(time.Time{})
 }
 
 // Read gives first what the watch has read.
@@ -349,7 +347,7 @@
 	c.mu.Unlock()
 	if n == 0 {
 		var err error
-		if n, err = c.Conn.Read(p); err != nil {
+		if n, err = c.receive(p); err != nil {
 			return n, err
 		}
 	}
--- a/internal/platform/move.go
+++ b/internal/platform/move.go
@@ -133,6 +133,7 @@
 		b.conn.watch(b.gone)
 		return false
 	}
+	b.conn.cut() // here alone: a shutdown would be the other process's too
 	return true
 }
 
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -93,6 +93,7 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	err := s.http.ShutdownWithContext(ctx)
 	s.adopted.Wait() // each ends with its answer: its connection is closed behind it by now
+	s.in.wait()
 	return err
 }
 
