--- a/gateway/holds_test.go
+++ b/gateway/holds_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"fmt"
 	"slices"
 	"testing"
@@ -332,3 +333,17 @@
 		})
 	}
 }
+
+// A place call that comes to its writer after the answer's first token holds a
+// place that this token did not let go of.
+func TestLatePlaceIsLetGo(t *testing.T) {
+	for _, place := range []Place{PlaceHeld, PlaceUnknown} {
+		p := &peer{place: place, answer: make(chan struct{}), answers: map[ashwood.ServerID][]Answer{
+			"r1": {answer(ashwood.Parsed)}, "w1": {streams(io.EOF, "a")}}}
+		g, _ := start(t, p)
+		r := serve(t, g, context.Background(), "chat")
+		close(p.answer)
+		p.wantFreed(t, "w1")
+		r.Stream.Close()
+	}
+}
--- a/gateway/stall_test.go
+++ b/gateway/stall_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"testing"
@@ -10,6 +11,74 @@
 	"ashwood.example/ashwood"
 )
 
+// stalls is a stream that gives one piece and then hangs until its context ends.
+type stalls struct {
+	pieces
+	ctx     context.Context
+	waiting chan struct{}
+}
+
+func (s *stalls) Next() ([]byte, error) {
+	if len(s.left) > 0 {
+		return s.pieces.Next()
+	}
+	close(s.waiting)
+	<-s.ctx.Done()
+	return nil, context.Cause(s.ctx)
+}
+
+// A stream that falls silent is not held for ever: not long where its engine has
+// begun a later answer, and where nothing is heard of the engine, which may hang
+// or have taken the answer back into its queue, for as long as its client may be left waiting.
+func TestStalledStreamBreaks(t *testing.T) {
+	for _, works := range []bool{true, false} {
+		stalled := &stalls{pieces: pieces{left: []string{"a"}}, waiting: make(chan struct{})}
+		p := &peer{place: PlaceRefused, answers: map[ashwood.ServerID][]Answer{
+			"r1": {answer(ashwood.Parsed), answer(ashwood.Parsed)},
+			"w1": {{Result: ashwood.Result{Status: ashwood.Served}, Stream: stalled}, streams(io.EOF, "b")}}}
+		g, c := start(t, p)
+		r := serve(t, g, context.Background(), "chat")
+		if piece, err := r.Stream.Next(); string(piece) != "a" || err != nil {
+			t.Fatal(string(piece), err)
+		}
+		ended := make(chan error)
+		go func() {
+			_, err := r.Stream.Next()
+			ended <- err
+		}()
+		<-stalled.waiting
+		var err error
+		if works {
+			c.Advance(1)
+			req := request("chat")
+			req.ID = "later"
+			if later, err := g.Serve(context.Background(), req); err != nil || later.Kind != Served {
+				t.Fatal(later, err)
+			}
+			c.Advance(stopWait)
+			err = <-ended
+		} else {
+			waited, over := 0.0, false
+			for !over {
+				select {
+				case err = <-ended:
+					over = true
+				default:
+					c.Advance(stopLook)
+					waited += stopLook
+				}
+			}
+			if waited < stallWait || stallWait >= 5000 {
+				t.Errorf("ended after %v ms", waited)
+			}
+		}
+		if !errors.Is(err, ErrStalled) {
+			t.Errorf("engine works %v: ended with %v", works, err)
+		}
+		r.Stream.Close()
+	}
+}
+
 // paced is a stream that gives a piece each time that it is asked to, until it is closed.
 type paced struct {
 	pieces
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -1,10 +1,7 @@
 package platform
 
 import (
-	"bytes"
-	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,7 +10,6 @@
 	"net/netip"
 	"runtime/debug"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -264,119 +260,3 @@
 	b.end()
 	return err
 }
-
-// parseRequest reads a request that fasthttp has taken.
-func parseRequest(r *fasthttp.Request) (*gateway.Request, error) {
-	h := &r.Header
-	if err := framing(h); err != nil {
-		return nil, err
-	}
-	return Parse(string(h.Method()), string(h.RequestURI()), r.Body(), func(name string) (values []string) {
-		for _, v := range h.PeekAll(name) {
-			values = append(values, string(v))
-		}
-		return values
-	})
-}
-
-// Parse takes out the fields that decisions need. It is strict: what is faulty or
-// may be read in two ways reaches no engine. header gives all values of a name.
-func Parse(method, target string, body []byte, header func(name string) []string) (*gateway.Request, error) {
-	req := &gateway.Request{Method: method, Target: target, Body: body}
-	if !json.Valid(req.Body) { // cut off, or behind a length that is wrong
-		return nil, errors.New("the body is no JSON")
-	}
-	if ct := header(fasthttp.HeaderContentType); len(ct) > 0 {
-		req.Header = append(req.Header, [2]string{fasthttp.HeaderContentType, ct[0]})
-	}
-	fields := map[string]string{}
-	for _, name := range []string{headerID, headerClass, headerSession, headerLeft, headerLabels, headerResent} {
-		switch values := header(name); len(values) {
-		case 0:
-		case 1:
-			fields[name] = values[0]
-		default:
-			return nil, fmt.Errorf("header %s comes %d times", name, len(values))
-		}
-	}
-	req.ID = ashwood.RequestID(fields[headerID])
-	req.Class = fields[headerClass]
-	req.Retry = fields[headerResent] == "1"
-	if strings.Trim(string(req.ID), ".") == "" || len(req.ID) > maxID || strings.ContainsFunc(string(req.ID), notInID) {
-		return nil, fmt.Errorf("header %s: %.80q is no request id", headerID, req.ID)
-	}
-	if req.Class == "" {
-		return nil, fmt.Errorf("header %s is missing", headerClass)
-	}
-	left, err := number(fields[headerLeft])
-	if err != nil || left > maxLeft {
-		return nil, fmt.Errorf("header %s: %w", headerLeft, cmp.Or(err, errTooLong))
-	}
-	req.Remaining = left * 1000
-	req.Session = gateway.Key(fields[headerSession])
-	return req, labels(req, fields[headerLabels])
-}
-
-// labels reads what the labels tell of a prompt.
-func labels(req *gateway.Request, text string) (err error) {
-	for _, label := range strings.Split(text, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(label), "=")
-		var into *float64
-		switch name {
-		case "prefix":
-			req.Prefix = gateway.Key(value)
-		case "prompt_len":
-			into = &req.PromptTokens
-		case "prefix_len":
-			into = &req.PrefixTokens
-		case "max_out":
-			into = &req.MaxOut
-		}
-		if into != nil {
-			if *into, err = number(value); err != nil {
-				return fmt.Errorf("header %s: %s: %w", headerLabels, name, err)
-			}
-		}
-	}
-	return nil
-}
-
-const (
-	maxID   = 128
-	maxLeft = 86400 // s
-)
-
-var errTooLong = fmt.Errorf("longer than %d seconds", maxLeft)
-
-// framing refuses a request whose end can be seen in two places: its body may
-// hide another one.
-func framing(h *fasthttp.RequestHeader) error {
-	length, encoding := 0, 0
-	for line := range bytes.Lines(h.RawHeaders()) {
-		name, _, _ := bytes.Cut(line, []byte(":"))
-		switch name = bytes.TrimSpace(name); {
-		case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)):
-			length++
-		case bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)):
-			encoding++
-		}
-	}
-	if length+encoding > 1 {
-		return errors.New("more than one header tells the body's length")
-	}
-	return nil
-}
-
-// notInID tells what no id has: it becomes part of a path.
-func notInID(r rune) bool {
-	return !(r >= '0' && r <= '9' || r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || strings.ContainsRune("-_.:~", r))
-}
-
-// number reads a plain decimal number, without sign or exponent.
-func number(text string) (float64, error) {
-	v, err := strconv.ParseFloat(text, 64)
-	if err != nil || v > 1e9 || strings.Trim(text, "0123456789.") != "" {
-		return 0, fmt.Errorf("%.80q is no number from 0 to 1e9", text)
-	}
-	return v, nil
-}
