Count an answer as begun once its first event is whole

On herd messages come in pieces: the first chunk was a part of an event, and with it the request was taken to belong to its client, so that the break ended the connection where a failure was owed, or another attempt. Wrong line: stream.first, which took any bytes for an event. Tests: broken within the first event (200 and a cut answer before, 502 now), an event in pieces, one without a blank line.

--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -198,6 +198,9 @@
 		{"202 from a writer", parsed, 502, 1},
 		{"reset", "\x00", 502, 1},
 		{"broken before an event", head + "\x00", 502, 1},
+		{"broken within the first event", head + chunk("data: {\"a\"") + "\x00", 502, 1},
+		{"a first event in pieces", head + chunk("data: {\"a\"") + chunk(":1}\n") + chunk("\n") + "0\r\n\r\n", 200, 1},
+		{"an answer without a blank line", head + chunk("data: [DONE]") + "0\r\n\r\n", 200, 1},
 	}
 	for _, tt := range tests {
 		got := make(chan seen, 9)
--- a/internal/platform/stream.go
+++ b/internal/platform/stream.go
@@ -1,8 +1,10 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 
@@ -20,7 +22,7 @@
 	body  io.Reader
 	stop  func() bool
 	buf   [4096]byte
-	begun []byte // the first piece, read but not passed on
+	begun []byte // up to the end of the first event, read but not passed on
 	tail  []byte // the last bytes seen, for the report
 	keep  bool
 	done  bool
@@ -57,13 +59,25 @@
 	return n, unexpected(err)
 }
 
+// first reads the answer up to the end of its first event, which may come in pieces: until
+// that is whole nothing has been answered, and what breaks is an attempt.
 func (s *stream) first() error {
-	piece, err := s.Next()
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF // an answer without an event is none
+	var begun []byte
+	for {
+		piece, err := s.Next()
+		begun = append(begun, piece...)
+		switch {
+		case errors.Is(err, io.EOF) && len(begun) == 0:
+			return io.ErrUnexpectedEOF // an answer without an event is none
+		case err != nil && !errors.Is(err, io.EOF):
+			return err
+		case err != nil || bytes.Contains(begun, []byte("\n\n")) || bytes.Contains(begun, []byte("\r\n\r\n")):
+			s.begun = begun
+			return nil
+		case len(begun) > maxChunk:
+			return fmt.Errorf("%w: an event does not end", errSpoilt)
+		}
 	}
-	s.begun = piece
-	return err
 }
 
 // Next gives the next bytes of the answer.
