See a client leave behind requests that it has sent ahead

Read: the watch for a client's leaving ended with the first byte that came ahead, so that of clients that send many requests at once nobody noticed that they closed, and attempts went on for them until their time was up. Change: up to 16 KiB are read ahead, and the close is seen behind them; messages of handed-over answers (64 KiB) take these along. Test: a byte, half a request, whole requests sent ahead, then a close: the attempt under way ends at once and none is begun after it. Open: behind more than 16 KiB the close is seen when the client is written to.

--- a/internal/platform/closing_test.go
+++ b/internal/platform/closing_test.go
@@ -195,3 +195,42 @@
 		}
 	}
 }
+
+// A client that leaves is seen to, whatever it has sent ahead; and nothing of that is begun
+// once it has left.
+func TestALeavingClientIsSeenBehindWhatItSentAhead(t *testing.T) {
+	half := "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Txn: "
+	second := "POST / HTTP/1.1\r\nHost: a\r\nX-Txn: second\r\nX-Lane: chat\r\nX-Remaining: 9\r\nContent-Length: 2\r\n\r\n{}"
+	for name, tail := range map[string]string{"a byte": "P", "half a request": half, "whole requests": second + second, "more": second + half + "x"} {
+		begun, over := make(chan seen, 9), make(chan error, 9)
+		s, addr := serve(t, engine(t, "r1", "reader", func(v seen) string {
+			if v.Method == "DELETE" {
+				return freed
+			}
+			begun <- v
+			if v.Method == "POST" {
+				v.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+				_, err := v.conn.Read(make([]byte, 1)) // until the gateway gives it up
+				over <- err
+				return "\x00"
+			}
+			return parsed
+		}))
+		c := dial(t, addr).(*net.TCPConn)
+		io.WriteString(c, request("chat", "", "{}"))
+		<-begun
+		io.WriteString(c, tail) // the watch has begun: it would have ended with this
+		c.CloseWrite()
+		if err := <-over; err != io.EOF {
+			t.Errorf("%s: its attempt ends with %v", name, err)
+		}
+		if rest, err := io.ReadAll(c); err != nil {
+			t.Errorf("%s: %q, %v", name, rest, err)
+		}
+		c.Close()
+		stop(t, s)
+		if n := len(begun); n > 0 {
+			t.Errorf("%s: %d more attempts were begun, of %v", name, n, (<-begun).ID)
+		}
+	}
+}
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -292,14 +292,16 @@
 	return c.readUntil(t)
 }
 
-// watch calls gone once if the client closes its side before unwatch.
+// aheadMost is how many bytes of next requests are read while one runs: behind more, a
+// client's leaving is seen only when it is written to. Messages to another process take them too.
+const aheadMost = 16 << 10
+
+// watch calls gone once if the client closes its side before unwatch. Requests that it has
+// sent ahead do not hide that.
 func (c *clientConn) watch(gone func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.ahead) > 0 { // it has sent more already, so it is there
-		return
-	}
-	if c.shut {
+	if c.shut || len(c.ahead) >= aheadMost {
 		return
 	}
 	c.Conn.SetReadDeadline(time.Time{})
@@ -307,18 +309,22 @@
 	c.quit = quit
 	go func() {
 		defer close(quit)
-		var b [1]byte
-		n, err := c.receive(b[:])
-		if n > 0 {
+		var b [512]byte
+		for {
+			n, err := c.receive(b[:])
 			c.mu.Lock()
-			c.ahead = append(c.ahead, b[0])
+			c.ahead = append(c.ahead, b[:n]...)
+			full := len(c.ahead) >= aheadMost
+			ne, ok := err.(net.Error)
+			timeout := ok && ne.Timeout() // unwatch
 			c.mu.Unlock()
-			return
-		}
-		if ne, ok := err.(net.Error); ok && ne.Timeout() {
-			return // unwatch
+			if err != nil && !timeout {
+				gone()
+			}
+			if err != nil || full {
+				return
+			}
 		}
-		gone()
 	}()
 }
 
