Write no repeat behind the window in which engines drop it

Read: the module chooses a repeat of a token class within its window; the connect may take 250 ms more, and nothing asked again at the moment of writing. Change: a step tells until when it may be written, counted from the first attempt that may have run; asked right before the first byte, as drains are. Tenants that the settings do not name count as none, so that nothing is kept by names that clients make up. Test: a repeat 0, 999 and 1,000 ms late; without the check the last is written.

--- a/facade.go
+++ b/facade.go
@@ -60,6 +60,7 @@
 	Reads   bool            // Engine is a reader: it answers with a read state
 	Once    bool            // it may have an effect, and may then not be sent again
 	Timeout float64         // ms to wait for the first token
+	Until   float64         // ms of the clock, from when on it may not be written any more: repeats are dropped for so long; 0 = at any time
 	Context context.Context // ends when the attempt is called off or the client leaves
 	Place   Server          // a writer to ask ahead for a place; no ID = none
 
@@ -162,6 +163,9 @@
 	}
 	f := &flight{ctx: ctx, ready: make(chan struct{}, 1)}
 	t.flights[c.ID] = f
+	if _, ok := t.sched.quota[c.Tenant]; !ok {
+		c.Tenant = "" // the settings have none of this name: nothing is kept for what clients make up
+	}
 	t.handle(Request{
 		ID: c.ID, Class: c.Class, Tenant: c.Tenant, Session: c.Session, Prefix: c.Prefix,
 		PrefixTokens: c.PrefixTokens, PromptTokens: c.PromptTokens, MaxOut: c.MaxOut,
--- a/flight.go
+++ b/flight.go
@@ -116,9 +116,13 @@
 	f := t.flights[a.ID]
 	ctx, cancel := context.WithCancel(f.ctx)
 	v := t.sched.servers[a.Server]
-	once := v.role != RoleRead && t.sched.reqs[a.ID].class.Effect == SideEffect
+	r := t.sched.reqs[a.ID]
+	once, until := v.role != RoleRead && r.class.Effect == SideEffect, 0.0
+	if v.role != RoleRead && r.class.Effect == Token && r.ran != nil {
+		until = millis(r.ran.sent + r.class.Window)
+	}
 	f.step = Step{
-		Kind: StepSend, Attempt: len(f.sent), Engine: v.Server, Reads: v.role == RoleRead, Once: once,
+		Kind: StepSend, Attempt: len(f.sent), Engine: v.Server, Reads: v.role == RoleRead, Once: once, Until: until,
 		Timeout: millis(a.Timeout), Context: ctx,
 	}
 	f.sent, f.cancel, f.out = append(f.sent, t.clock.Now()), append(f.cancel, cancel), f.out+1
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -176,7 +176,10 @@
 	stop := g.clock.AfterFunc(step.Timeout, func() { cancel(ErrTimedOut) })
 	ans := g.transport.Send(actx, Attempt{
 		Request: req, Engine: step.Engine, Reads: step.Reads, Once: step.Once, Remaining: step.Timeout,
-		Ready: func() bool { return actx.Err() == nil && g.router.Accepts(step.Engine.ID) },
+		Ready: func() bool {
+			late := step.Until > 0 && g.clock.Now() >= step.Until
+			return !late && actx.Err() == nil && g.router.Accepts(step.Engine.ID)
+		},
 		Sent: func() {
 			h.sent(step.Engine)
 			g.figures.Relayed(req.Class)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -156,10 +157,11 @@
 	}
 	g, err := New(ashwood.Settings{
 		Nodes: max(p.nodes, 1), Ahead: true, Reports: ashwood.ReportInline,
-		Kinds:   []ashwood.Kind{{Name: "r", Role: ashwood.RoleRead, MemoryTokens: 1e5}, {Name: "w", Role: ashwood.RoleWrite, MemoryTokens: 1e5}},
-		Classes: []ashwood.Class{class("chat", ashwood.Pure), class("order", ashwood.SideEffect)},
-		Limits:  ashwood.Limits{MaxAttempts: 6, Cancel: true, Probes: p.nodes > 1, RetryAfter: true, MaxRetryAfter: 500 * time.Millisecond},
-		Rules:   ashwood.Rules{Release: 500 * time.Millisecond},
+		Kinds: []ashwood.Kind{{Name: "r", Role: ashwood.RoleRead, MemoryTokens: 1e5}, {Name: "w", Role: ashwood.RoleWrite, MemoryTokens: 1e5}},
+		Classes: []ashwood.Class{class("chat", ashwood.Pure), class("order", ashwood.SideEffect), {
+			Name: "quote", Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Effect: ashwood.Token, Group: ashwood.ScopeAll, Window: time.Second}},
+		Limits: ashwood.Limits{MaxAttempts: 6, Cancel: true, Probes: p.nodes > 1, RetryAfter: true, MaxRetryAfter: 500 * time.Millisecond},
+		Rules:  ashwood.Rules{Release: 500 * time.Millisecond},
 	}, 1, p, c, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
@@ -368,6 +370,37 @@
 	}
 }
 
+// Engines drop repeats of a class for its window alone. A repeat that is chosen within it and
+// would be written after it, since its connection was late, is not.
+func TestARepeatIsNotWrittenAfterItsWindow(t *testing.T) {
+	for late, want := range map[time.Duration]Kind{0: Served, 999: Served, 1000: Refused} {
+		synctest.Test(t, func(t *testing.T) {
+			writes := 0
+			p := &peer{place: PlaceRefused, answers: map[ashwood.ServerID][]Answer{
+				"r1": {answer(ashwood.Parsed), answer(ashwood.Parsed), answer(ashwood.Parsed)},
+				"w1": {answer(ashwood.ConnectionLost)}, "w2": {answer(ashwood.ConnectionLost)}}}
+			p.before = func(v ashwood.Server) {
+				if v.Kind == "w" {
+					if writes++; writes == 2 {
+						p.answers[v.ID] = []Answer{streams(io.EOF, "a")}
+						time.Sleep(late * time.Millisecond)
+					}
+				}
+			}
+			g := startAt(t, p, SystemClock())
+			g.Update(ashwood.ListPatch, []ashwood.Server{{ID: "w2", Kind: "w", State: ashwood.StateOn}})
+			r := serve(t, g, t.Context(), "quote")
+			if r.Kind != want || writes != 2 {
+				t.Errorf("%v ms late: %v after %d writes, want %v", int(late), r.Kind, writes, want)
+			}
+			if r.Stream != nil {
+				r.Stream.Close()
+			}
+			g.Wait()
+		})
+	}
+}
+
 // A stream that breaks is not ended as if it were whole.
 func TestBrokenStreamIsPassedOnAsBroken(t *testing.T) {
 	broken := errors.New("reset")
--- a/gateway/holds_test.go
+++ b/gateway/holds_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"fmt"
+	"io"
 	"slices"
 	"testing"
 	"testing/synctest"
