Pass clients' headers on, and tell an attempt's time left behind its connect

Clients send a key for repeats in a header of its own, and only Content-Type was passed on. Change: all end-to-end headers go on as they came; those of one connection, of the message's frame and the two that the gateway sets do not. The time told was taken before the connect, up to 250 ms too much: it is worked out right before the first byte.

--- a/internal/platform/engines.go
+++ b/internal/platform/engines.go
@@ -28,6 +28,7 @@
 const (
 	headerID       = "X-Txn"
 	headerClass    = "X-Lane"
+	headerTenant   = "X-Org" // where the settings name tenants
 	headerSession  = "X-Entity"
 	headerLeft     = "X-Remaining"
 	headerLabels   = "X-Labels"
@@ -196,18 +197,22 @@
 func (e *Engines) Send(ctx context.Context, a gateway.Attempt) gateway.Answer {
 	h := header(a.Method, a.Target, a.Engine.Address)
 	for _, f := range a.Header {
-		h.Set(f[0], f[1])
+		h.Add(f[0], f[1])
 	}
 	h.Set(headerID, string(a.ID))
-	h.Set(headerLeft, strconv.FormatFloat(a.Remaining/1000, 'f', 3, 64))
 	h.SetContentLength(len(a.Body))
+	begun := e.clock.Now()
+	ready := func() bool { // a connect takes its time of what is left
+		h.Set(headerLeft, strconv.FormatFloat(max(a.Remaining-(e.clock.Now()-begun), 0)/1000, 'f', 3, 64))
+		return a.Ready()
+	}
 	var head fasthttp.ResponseHeader
 	with := anyConn
 	if a.Once {
 		with = newConn
 	}
 	c, wrote, err := e.exchange(ctx, call{
-		addr: a.Engine.Address, with: with, head: h, body: a.Body, ready: a.Ready, sent: a.Sent, giveUp: e.pool.abandon,
+		addr: a.Engine.Address, with: with, head: h, body: a.Body, ready: ready, sent: a.Sent, giveUp: e.pool.abandon,
 	}, &head)
 	if err != nil {
 		return failed(ctx, wrote, err)
--- a/internal/platform/nethttp.go
+++ b/internal/platform/nethttp.go
@@ -92,6 +92,11 @@
 	if err != nil {
 		return nil, http.StatusBadRequest, err
 	}
+	for name, values := range r.Header {
+		for _, value := range values {
+			pass(req, name, value)
+		}
+	}
 	req.Front = n.Front
 	if at, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
 		req.Client = at.Addr().Unmap()
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
 
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/gateway"
@@ -21,12 +22,34 @@
 	if err := framing(h); err != nil {
 		return nil, err
 	}
-	return Parse(string(h.Method()), string(h.RequestURI()), r.Body(), func(name string) (values []string) {
+	req, err := Parse(string(h.Method()), string(h.RequestURI()), r.Body(), func(name string) (values []string) {
 		for _, v := range h.PeekAll(name) {
 			values = append(values, string(v))
 		}
 		return values
 	})
+	if err == nil {
+		for name, value := range h.All() {
+			pass(req, string(name), string(value))
+		}
+	}
+	return req, err
+}
+
+// pass notes a header for the engine: all go there as they came (a client's key for
+// repeats, say), but for those that are between two ends of one connection or that the
+// gateway sets itself. What can't be written as a line of its own stays here.
+func pass(req *gateway.Request, name, value string) {
+	if !ours[strings.ToLower(name)] && httpguts.ValidHeaderFieldName(name) && httpguts.ValidHeaderFieldValue(value) {
+		req.Header = append(req.Header, [2]string{name, value})
+	}
+}
+
+// ours are the headers that are not passed on.
+var ours = map[string]bool{
+	"connection": true, "keep-alive": true, "proxy-connection": true, "proxy-authenticate": true, "proxy-authorization": true,
+	"te": true, "trailer": true, "transfer-encoding": true, "upgrade": true, "expect": true, "content-length": true, "host": true,
+	strings.ToLower(headerID): true, strings.ToLower(headerLeft): true,
 }
 
 // Parse takes out the fields that decisions need. It is strict: what is faulty or
@@ -36,11 +59,8 @@
 	if !json.Valid(req.Body) { // cut off, or behind a length that is wrong
 		return nil, errors.New("the body is no JSON")
 	}
-	if ct := header(fasthttp.HeaderContentType); len(ct) > 0 {
-		req.Header = append(req.Header, [2]string{fasthttp.HeaderContentType, ct[0]})
-	}
 	fields := map[string]string{}
-	for _, name := range []string{headerID, headerClass, headerSession, headerLeft, headerLabels, headerResent} {
+	for _, name := range []string{headerID, headerClass, headerSession, headerLeft, headerLabels, headerResent, headerTenant} {
 		switch values := header(name); len(values) {
 		case 0:
 		case 1:
@@ -51,6 +71,7 @@
 	}
 	req.ID = ashwood.RequestID(fields[headerID])
 	req.Class = fields[headerClass]
+	req.Tenant = fields[headerTenant]
 	req.Retry = fields[headerResent] == "1"
 	if strings.Trim(string(req.ID), ".") == "" || len(req.ID) > maxID || strings.ContainsFunc(string(req.ID), notInID) {
 		return nil, fmt.Errorf("header %s: %.80q is no request id", headerID, req.ID)
