Name the key of settings that are out of range, and refuse text that is not UTF-8

Change: each is refused with its key (lanes[0].deadline), by the one decoder that the adapter uses too; lists with such text are refused whole and the one in hand stays.

--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math"
 	"time"
+	"unicode/utf8"
 
 	"ashwood.example/ashwood"
 )
@@ -124,6 +125,9 @@
 	if bytes.Equal(bytes.TrimSpace(raw), []byte("null")) {
 		return fmt.Errorf("wire: %s: null in place of an object", message)
 	}
+	if !utf8.Valid(raw) { // names would be read as others
+		return fmt.Errorf("wire: %s: not in UTF-8", message)
+	}
 	err := json.Unmarshal(raw, into)
 	var wrong *json.UnmarshalTypeError
 	switch {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"fmt"
+	"math"
 	"time"
 
 	"ashwood.example/ashwood"
@@ -113,7 +115,58 @@
 	return v
 }
 
+// longestMs is the longest time that settings may name, in ms: beyond a day, the unit is wrong.
+const longestMs = 86400e3
+
+// check tells of the first number that can't be what its key says.
+func (in *setupLine) check(name string) error {
+	type number struct {
+		key          string
+		value, least float64
+		most         float64
+	}
+	o, c := in.Obligations, in.Ceilings
+	all := []number{
+		{"siblings", float64(in.Siblings), 0, math.MaxInt32}, {"my_number", float64(in.Number), 0, math.MaxInt32},
+		{"over_share_worth", in.OverShare, 0, math.MaxFloat64},
+		{"family_info.release", float64(in.Family.Release), 0, longestMs},
+		{"ceilings.attempts_cap", float64(c.Attempts), 0, math.MaxInt32},
+		{"ceilings.max_retry_after", float64(c.MaxRetryAfter), 0, longestMs},
+		{"ceilings.connect_timeout", float64(c.Connect), 0, longestMs}, {"ceilings.conn_idle", float64(c.ConnIdle), 0, longestMs},
+		{"obligations.fall_multiple", o.Multiple, 0, math.MaxFloat64}, {"obligations.fall", float64(o.Fall), 0, longestMs},
+		{"obligations.start_capacity", o.Start, 0, math.MaxFloat64}, {"obligations.warm_within", float64(o.Warm), 0, longestMs},
+		{"obligations.ask_every", float64(o.Ask), 0, longestMs},
+	}
+	seen := map[string]bool{}
+	for i, l := range in.Lanes {
+		at := func(key string) string { return fmt.Sprintf("lanes[%d].%s", i, key) }
+		if l.Name == "" || seen[l.Name] {
+			return fmt.Errorf("wire: %s: field %q: %q is no name of its own", name, at("name"), l.Name)
+		}
+		seen[l.Name] = true
+		all = append(all, number{at("deadline"), float64(l.Dead), math.SmallestNonzeroFloat64, longestMs},
+			number{at("aim"), float64(l.Aim), 0, longestMs}, number{at("worth"), l.Worth, 0, math.MaxFloat64},
+			number{at("late_share"), l.Late, 0, 1}, number{at("memory_span"), float64(l.Window), 0, longestMs})
+	}
+	for i, t := range in.Tenants {
+		at := func(key string) string { return fmt.Sprintf("tenants[%d].%s", i, key) }
+		all = append(all, number{at("share"), t.Share, 0, math.MaxFloat64}, number{at("allowance_per_s"), t.Quota, 0, math.MaxFloat64})
+	}
+	for i, n := range in.Family.Tokens {
+		all = append(all, number{fmt.Sprintf("family_info.tokens_by_kind[%d]", i), n, 0, math.MaxFloat64})
+	}
+	for _, n := range all {
+		if n.value < n.least || n.value > n.most {
+			return fmt.Errorf("wire: %s: field %q: %v is out of range", name, n.key, n.value)
+		}
+	}
+	return nil
+}
+
 func (in *setupLine) settings(name string) (ashwood.Settings, error) {
+	if err := in.check(name); err != nil {
+		return ashwood.Settings{}, err
+	}
 	mode, ok := modes[in.Report.How]
 	if !ok {
 		return ashwood.Settings{}, unknown(name, "report.how", in.Report.How)
@@ -142,18 +195,18 @@
 	for i, k := range in.Kinds {
 		role, ok := roles[at(in.Family.Roles, i)]
 		if !ok {
-			return set, unknown(name, "family_info.kind_role", at(in.Family.Roles, i))
+			return set, unknown(name, fmt.Sprintf("family_info.kind_role[%d]", i), at(in.Family.Roles, i))
 		}
 		set.Kinds = append(set.Kinds, ashwood.Kind{Name: k, Role: role, MemoryTokens: at(in.Family.Tokens, i)})
 	}
 	for i, l := range in.Lanes {
 		effect, ok := effects[l.Effect]
 		if !ok {
-			return set, unknown(name, "lanes.effect", l.Effect)
+			return set, unknown(name, fmt.Sprintf("lanes[%d].effect", i), l.Effect)
 		}
 		scope, ok := scopes[l.Group]
 		if !ok {
-			return set, unknown(name, "lanes.group", l.Group)
+			return set, unknown(name, fmt.Sprintf("lanes[%d].group", i), l.Group)
 		}
 		set.Classes = append(set.Classes, ashwood.Class{
 			Name: l.Name, Aim: l.Aim.duration(), Deadline: l.Dead.duration(), Worth: l.Worth, LateShare: l.Late,
