Let a connection rest behind a stream, where a second answer may come some ms late

A kept connection was looked at when taken; what came between that and the next request's own answer would have been passed on as that answer. Change: a connection that carried a stream is not taken for 50 ms; then what came shows and it is closed. Short answers (reads, probes) rest no time, and a younger connection is passed over for an older. Orders go on new ones as before.

--- a/internal/platform/engines.go
+++ b/internal/platform/engines.go
@@ -275,7 +275,7 @@
 		late()
 		switch whole := stop() && err == nil; {
 		case whole && !head.ConnectionClose():
-			e.pool.put(c)
+			e.pool.put(c, 0)
 		case whole:
 			e.pool.discard(c)
 		default:
--- a/internal/platform/engines_test.go
+++ b/internal/platform/engines_test.go
@@ -61,9 +61,9 @@
 		t.Errorf("a second spare connection: %v", err)
 	}
 	p.discard(spare)
-	p.put(a)
+	p.put(a, 0)
 	c.Advance(1)
-	p.put(b)
+	p.put(b, 0)
 	other := get(second)
 	if _, err := a.Write([]byte("x")); !errors.Is(err, net.ErrClosed) || p.open != 2 {
 		t.Errorf("the oldest idle connection: %v; %d open", err, p.open)
@@ -71,8 +71,8 @@
 	if again := get(first); again != b {
 		t.Error("an idle connection is not used again")
 	}
-	p.put(b)
-	p.put(other)
+	p.put(b, 0)
+	p.put(other, 0)
 	c.Advance(1000)
 	p.sweep()
 	if p.open != 2 {
@@ -85,6 +85,48 @@
 	}
 }
 
+// An engine may send more than belongs to a stream, some ms behind its end. The connection is
+// not taken for that long, and what has come by then shows; none is used that brought more.
+func TestASecondAnswerBehindAStreamIsNotTakenForTheNext(t *testing.T) {
+	c, l := clock.NewManual(0), listen(t)
+	p, addr := newPool(c, 2000, 1000, 9), l.Addr().String()
+	take := func() *conn {
+		t.Helper()
+		got, err := p.get(t.Context(), addr, anyConn)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return got
+	}
+	first := take()
+	peer, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	p.put(first, streamRest)
+	c.Advance(streamRest - 1)
+	other := take()
+	if other == first {
+		t.Fatal("taken while a second answer may be under way")
+	}
+	io.WriteString(peer, whole())
+	if _, err := first.br.Peek(1); err != nil { // it has come, unseen by the pool
+		t.Fatal(err)
+	}
+	first.br.Reset(first.Conn)
+	io.WriteString(peer, "more")
+	c.Advance(1)
+	until(t, "the second answer is seen", func() bool { return !first.alive() })
+	if got := take(); got == first || p.open != 2 {
+		t.Errorf("taken although it has brought more: %v, %d open", got == first, p.open)
+	}
+	p.put(other, 0)
+	if got := take(); got != other {
+		t.Error("one behind a short answer rests")
+	}
+}
+
 // Only what has not left whole is proved not to have run.
 func TestWhatAnAttemptWithoutAnAnswerProves(t *testing.T) {
 	live, ended := context.Background(), func() context.Context {
@@ -240,8 +282,8 @@
 	}
 	a, b := get(), get()
 	p.broke(b) // a new one tells nothing of the kept
-	p.put(a)
-	p.put(b)
+	p.put(a, 0)
+	p.put(b, 0)
 	if got := get(); got != b {
 		t.Fatal("no connection is kept")
 	}
@@ -251,7 +293,7 @@
 	if fresh == a {
 		t.Error("a kept connection is used after another had died")
 	}
-	if p.put(fresh); p.open != 1 {
+	if p.put(fresh, 0); p.open != 1 {
 		t.Errorf("%d open: a connection is kept", p.open)
 	}
 	c.Advance(doubtTime)
@@ -296,13 +338,13 @@
 		}
 		conns = append(conns, c)
 	}
-	p.put(conns[0])
+	p.put(conns[0], 0)
 	p.share(2)
 	if p.open != 3 {
 		t.Errorf("%d open: an idle one beyond the part stays", p.open)
 	}
-	p.put(conns[1]) // beyond the part: it is closed
-	p.put(conns[2])
+	p.put(conns[1], 0) // beyond the part: it is closed
+	p.put(conns[2], 0)
 	if p.open != 2 || len(p.idle[s.Address]) != 1 {
 		t.Errorf("%d open, %d of them idle", p.open, len(p.idle[s.Address]))
 	}
@@ -310,6 +352,6 @@
 	if p.max != 4 {
 		t.Errorf("%d for one alone", p.max)
 	}
-	p.put(conns[3])
+	p.put(conns[3], 0)
 	p.close()
 }
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -24,6 +25,7 @@
 	br   *bufio.Reader
 	addr string
 	idle float64 // since when; 0 = never yet
+	from float64 // when it may be used again
 }
 
 // endWith has the end of ctx end all reading and writing on the connection, until stop. That
@@ -106,10 +108,13 @@
 func (p *pool) reuse(addr string, with which) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if list := p.idle[addr]; len(list) > 0 && (with == anyConn || with == anySpare) && p.clock.Now() >= p.doubt {
-		c := list[len(list)-1]
-		p.idle[addr] = list[:len(list)-1]
-		return c, nil
+	if now := p.clock.Now(); (with == anyConn || with == anySpare) && now >= p.doubt {
+		for i, c := range slices.Backward(p.idle[addr]) {
+			if now >= c.from {
+				p.idle[addr] = slices.Delete(p.idle[addr], i, i+1)
+				return c, nil
+			}
+		}
 	}
 	most := p.max
 	if with >= anySpare {
@@ -145,8 +150,12 @@
 	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, 4096), addr: addr}, nil
 }
 
-// put keeps a connection for another request.
-func (p *pool) put(c *conn) {
+// streamRest is how many ms a connection rests behind a stream. Engines may send more than
+// belongs to it, some ms late; the next request's answer would begin with that.
+const streamRest = 50.0
+
+// put keeps a connection for another request, some ms from now on.
+func (p *pool) put(c *conn, rest float64) {
 	if c.br.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
 		p.discard(c)
 		return
@@ -158,6 +167,7 @@
 		p.open--
 		return
 	}
+	c.from = c.idle + rest
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
--- a/internal/platform/stream.go
+++ b/internal/platform/stream.go
@@ -125,7 +125,7 @@
 		return nil
 	}
 	if s.stop() && s.done && s.keep {
-		s.pool.put(s.c)
+		s.pool.put(s.c, streamRest)
 	} else {
 		s.pool.discard(s.c)
 	}
