--- a/internal/platform/crowd_test.go
+++ b/internal/platform/crowd_test.go
@@ -243,3 +243,40 @@
 		})
 	}
 }
+
+// unending is a connection whose client is told the end and never closes in turn.
+type unending struct{ net.Conn }
+
+func (unending) CloseWrite() error { return nil }
+
+// Connections in the second step of their close are not waited for where a new client comes:
+// the first of them goes at once.
+func TestANewClientDoesNotWaitForConnectionsThatLinger(t *testing.T) {
+	new(fasthttp.ResponseHeader).Header() // as above
+	synctest.Test(t, func(t *testing.T) {
+		q, s, _ := quiet(t, says{gateway.Reply{Kind: gateway.Refused}}, closingShare)
+		begun := time.Now()
+		for range 3 {
+			near, c := net.Pipe()
+			q.next <- unending{near}
+			if _, err := io.WriteString(c, request("chat", "Connection: close\r\n", "{}")); err != nil {
+				t.Fatal(err)
+			}
+			r, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.Copy(io.Discard, r.Body)
+			synctest.Wait()
+		}
+		s.in.mu.Lock()
+		n := s.in.closing
+		s.in.mu.Unlock()
+		near, c := net.Pipe()
+		q.next <- near
+		ready(t, c)
+		if waited := time.Since(begun); n == 0 || waited >= lingerTime {
+			t.Errorf("with %d that linger, the new one waited %v", n, waited)
+		}
+	})
+}
