--- a/scheduler.go
+++ b/scheduler.go
@@ -39,7 +39,7 @@
 	slowRefusal  = 20                    // of the aim, from which a refusal is of this kind alone
 	tollLimit    = 0.5
 	spread       = 3                       // readers for a prefix, in parts of what its share of traffic needs
-	blindShare   = 0.2                     // of the readers, a prefix's homes at least where many nodes are told no load
+	blindShare   = 0.2                     // of readers, a prefix's homes at least where no load is told
 	probesAtOnce = 2                       // for one choice
 	probeWait    = 5 * time.Millisecond    // for an answer before a choice
 	probeEvery   = 500 * time.Millisecond  // where load is told on probes alone
