--- a/cmd/ashwood/main_test.go
+++ b/cmd/ashwood/main_test.go
@@ -242,7 +242,7 @@
 func TestBadConfigurationEndsItNamingTheKey(t *testing.T) {
 	good := fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":%s}`, settings)
 	tests := []struct{ old, new, operator, key string }{
-		{`"effect":"pure"`, `"effect":"odd"`, "", "lanes.effect"},
+		{`"effect":"pure"`, `"effect":"odd"`, "", "lanes[0].effect"},
 		{`"name":"n"`, `"limits":{"sockets":3},"name":"n"`, "", "limits.sockets"},
 		{`"name":"n"`, `"mgmt":"nowhere","name":"n"`, "", "mgmt"},
 		{"", "", "[grpc]\nlisten = 7", "grpc.listen"},
