--- a/cold_test.go
+++ b/cold_test.go
@@ -95,16 +95,21 @@
 			n.do(Outcome{ID: RequestID(id), Attempt: 1, Server: b.Server, Status: Served, Done: true, Latency: 9 * ms})
 		}
 	}
-	for i := range sent {
+	return mostWithin(sent, set.Rules.FallWindow), len(sent)
+}
+
+// mostWithin gives the most times, in order, that lie within one window.
+func mostWithin(times []time.Duration, window time.Duration) (most int) {
+	for i := range times {
 		in := 0
-		for _, at := range sent[i:] {
-			if at-sent[i] < set.Rules.FallWindow {
+		for _, at := range times[i:] {
+			if at-times[i] < window {
 				in++
 			}
 		}
 		most = max(most, in)
 	}
-	return most, len(sent)
+	return most
 }
 
 // Rule 4 is about the sum: what all nodes send a cold server in any window
@@ -149,16 +154,7 @@
 				n.do(Outcome{ID: RequestID(id), Attempt: 1, Server: b.Server, Status: Served, Done: true, Latency: 9 * ms})
 			}
 		}
-		worst := 0
-		for i := range sent {
-			in := 0
-			for _, at := range sent[i:] {
-				if at-sent[i] < set.Rules.FallWindow {
-					in++
-				}
-			}
-			worst = max(worst, in)
-		}
+		worst := mostWithin(sent, set.Rules.FallWindow)
 		limit := set.Rules.FallMultiple * set.Rules.ColdFrom * perSecond / 6
 		if nodes > manyNodes { // what a reader can do, not what it is seen to, and one for chance, as the rule has it
 			limit = limit*readSpare/usualLoad + 1
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -37,8 +37,9 @@
 }
 
 // pass notes a header for the engine: all go there as they came (a client's key for
-// repeats, say), but for those that are between two ends of one connection or that the
-// gateway sets itself. What can't be written as a line of its own stays here.
+// repeats, say), but for those of one connection that are listed below, or that the gateway
+// sets itself; others that a Connection header names are passed on all the same. What can't
+// be written as a line of its own stays here.
 func pass(req *gateway.Request, name, value string) {
 	if !ours[strings.ToLower(name)] && httpguts.ValidHeaderFieldName(name) && httpguts.ValidHeaderFieldValue(value) {
 		req.Header = append(req.Header, [2]string{name, value})
