Send servers in slow start what warm peers finish allows, not an assumed load

Cause: above eight gateways each request brought a fixed part of a send nearer to every server in slow start, sized for a load of 0.6 and half more for prefill engines (usualLoad, readSpare in takeTurns). A prefill engine to which a hot shared prefix hashes used all of it: 27 sends in a window that allows 26.2, and 68 of 52.1 with three times the traffic and two starts.

Change: a gateway earns sends from the requests that it sees warm peers finish (multiple x cold share, over the warm peers), so that the sum over the fleet is the budget by the load they bear. Prefill engines earn half of what the rule grants to chance besides, as affinity leaves much unused.

A server in slow start has a third of its speed, and what it can survive is more than what it serves in time.

--- a/choose.go
+++ b/choose.go
@@ -10,15 +10,15 @@
 )
 
 // pool lists the servers of a stage that a request may use: the one whose single
-// trial is due, cold writers whose turn it is (readers are chosen by what they have
-// kept), else the trusted, else, when none is left, all.
+// trial is due, writers in slow start that may get a send (readers are chosen by what they
+// have kept), else the trusted, else, when none is left, all.
 func (s *Scheduler) pool(r *request, match func(Role) bool) (good []*server) {
-	var rest, turn []*server
+	var rest, due []*server
 	for _, v := range s.order {
 		switch z := v.path; {
 		case !match(v.role) || !s.usable(r, v):
 		case s.trusted(v) && s.set.Nodes > manyNodes && s.cold(v) && v.role != RoleRead:
-			turn = append(turn, v)
+			due = append(due, v)
 		case s.trusted(v) && s.now >= v.refuses[r.kind()] && !(r.near && v.Zone != s.set.Zone):
 			good = append(good, v)
 		case !s.trusted(v) && (v.due(s.now) || !v.ejected) && (z.due(s.now) || !z.ejected) && len(r.attempts) <= 1:
@@ -27,7 +27,7 @@
 			rest = append(rest, v)
 		}
 	}
-	for _, some := range [][]*server{turn, good} {
+	for _, some := range [][]*server{due, good} {
 		if len(some) > 0 {
 			return some
 		}
--- a/health.go
+++ b/health.go
@@ -102,7 +102,7 @@
 		return true
 	}
 	if s.set.Nodes > manyNodes {
-		return v.turns >= 1
+		return v.credit.Covers()
 	}
 	rules, cost := s.set.Rules, max(s.cost[r.class], 1)
 	each, _ := s.mean(v.role, func(o *server) (float64, bool) {
@@ -111,30 +111,46 @@
 	budget, nodes := each*rules.FallWindow.Seconds()*rules.FallMultiple*rules.ColdFrom, float64(s.set.Nodes)
 	k := max(budget*nodes/cost, 1) // of all nodes; their draws may by chance fall together, by three deviations
 	part := min(coldMargin, 1-s.crowd+math.Pow(math.Sqrt(9+4*k)-3, 2)/4/k)
-	budget = max(budget*part, cost*max(1/nodes, math.Pow(1-s.crowd, 2))) / s.copies // one at least; many nodes share it
+	budget = max(budget*part, cost*max(1/nodes, math.Pow(1-s.crowd, 2))) / s.copies // many nodes share one
 	span := time.Duration(float64(rules.FallWindow) * max(1, cost/budget))
-	sent := cost
-	for _, st := range v.sends {
-		if s.now-st.at < span {
-			sent += st.cost
+	sent := cost + v.sends.Within(s.now, span)
+	return sent <= max(budget, cost) && s.now-v.since >= time.Duration(v.luck*float64(span-rules.FallWindow))
+}
+
+// creditSlowStart hands out sends to servers in slow start, where many nodes share their budget,
+// for a request that a warm peer has finished. What warm peers finish shows what a server can do
+// at the least, of which the settings allow a part in slow start. Every node hands out what its
+// own requests show, so that the sum over all nodes is that part.
+func (s *Scheduler) creditSlowStart(done *server) {
+	if s.cold(done) {
+		return
+	}
+	for _, v := range s.order {
+		if v.role == done.role && s.cold(v) {
+			v.credit.Earn(s.set.Rules.FallMultiple * s.set.Rules.ColdFrom / max(s.warm(done.role), 1))
 		}
 	}
-	return sent <= max(budget, cost) && s.now-v.since >= time.Duration(v.luck*float64(span-rules.FallWindow))
 }
 
-// takeTurns brings the turns at cold servers nearer with each request, where many
-// nodes share them: a turn is one send. Over the fleet a server gets so no more than
-// its equal share of the requests by what it can do while cold, whoever prefers it.
-func (s *Scheduler) takeTurns() {
-	share := s.set.Rules.FallMultiple * s.set.Rules.ColdFrom / usualLoad
-	// For writers, engines that are gone count too: of the listed alone was too much.
+// warm counts the servers of a role that bear the usual load.
+func (s *Scheduler) warm(role Role) float64 {
+	_, n := s.mean(role, func(v *server) (float64, bool) { return 0, !s.cold(v) && s.trusted(v) })
+	return n
+}
+
+// creditChance hands out half of what the rule grants beyond the budget of n sends, 3 root n + 3
+// in a window; the other half is left to chance. The roots of the nodes' parts add up to no more
+// than the root of their sum. It is for readers, which leave much of their credit unused, as only
+// prompts go there whose beginning hashes to them, and for roles of which no warm server is left.
+func (s *Scheduler) creditChance() {
+	rules := s.set.Rules
 	_, readers := s.mean(RoleRead, func(*server) (float64, bool) { return 0, true })
+	requests := s.coming.Add(s.now, time.Second, 0) / max(s.prompt, 1) * float64(s.set.Nodes)
+	n := rules.FallMultiple * rules.ColdFrom * requests * rules.FallWindow.Seconds() / max(readers, 1)
 	for _, v := range s.order {
-		if n := float64(len(s.order)) - readers; v.listed && s.cold(v) {
-			if v.role == RoleRead {
-				n = readers / readSpare
-			}
-			v.turns = min(v.turns+share/n, 2)
+		windows := float64(v.credit.Elapsed(s.now)) / float64(rules.FallWindow)
+		if s.cold(v) && (v.role == RoleRead || s.warm(v.role) == 0) {
+			v.credit.Earn(windows * chanceShare * (math.Sqrt(n) + 1) / float64(s.set.Nodes) / s.copies)
 		}
 	}
 }
--- a/outcomes.go
+++ b/outcomes.go
@@ -37,9 +37,11 @@
 // back for want of memory would have been before it in the queue. Else it stops where
 // nothing waits, by the server's word, if its other answers have gone on, or, of many nodes,
 // which seldom have any there, with no second event: all nodes' work waits where it hangs.
-func (s *Scheduler) stopped(r *request, n int, v *server, since, others time.Duration, first bool) (over, ask bool) {
+func (s *Scheduler) stopped(
+	r *request, n int, v *server, since, others time.Duration, first bool) (over, ask bool) {
 	waits, told := v.report[ReportQueue]
-	ask = (first && s.set.Nodes > manyNodes || others-since >= stopSure/2) && s.set.Limits.Probes && s.now-since < 2*stopSure
+	sign := first && s.set.Nodes > manyNodes || others-since >= stopSure/2
+	ask = sign && s.set.Limits.Probes && s.now-since < 2*stopSure
 	idle := told && waits < 1 && v.reportAt-since >= stopSure
 	return r != nil && n < len(r.attempts) && v.began[r.attempts[n].stage] > since || ask && idle, ask
 }
@@ -222,6 +224,7 @@
 	v.shun, v.alive, v.began[a.stage] = 0, s.now, max(v.began[a.stage], a.sent)
 	if !s.cold(v) { // taken, not sent: a storm of rejects must not swell the cold budget
 		v.done.Add(s.now, s.set.Rules.FallWindow, s.cost[r.class])
+		s.creditSlowStart(v)
 	}
 	if want := p.Expect(a.queue); want > 0 {
 		v.ratio += ewma * (min(float64(latency)/want, 10) - v.ratio)
--- a/scheduler.go
+++ b/scheduler.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"ashwood.example/ashwood/internal/slowstart"
 	"ashwood.example/ashwood/internal/trend"
 )
 
@@ -32,9 +33,8 @@
 	backoffMax   = 8 * time.Second       //
 	retryPause   = 40 * time.Millisecond // between looks for a server while a request waits
 	coldMargin   = 0.6                   // of the cold budget that is used
+	chanceShare  = 1.5                   // half of the 3 root n + 3 sends that the rule grants to chance
 	manyNodes    = 8                     // of which each sends a server too little to count
-	usualLoad    = 0.6                   // of what servers can do
-	readSpare    = 1.5                   // times what writers can do, that readers can
 	nearRoom     = 0.5                   // of the best room anywhere that a nearer writer needs
 	slowRefusal  = 20                    // of the aim, from which a refusal is of this kind alone
 	tollLimit    = 0.5
@@ -52,23 +52,17 @@
 	if err := set.check(); err != nil {
 		return nil, err
 	}
-	set.Nodes, set.Classes = max(set.Nodes, 1), slices.Clone(set.Classes)
-	for _, d := range []*time.Duration{&set.Rules.FallWindow, &set.Rules.ColdTime, &set.Rules.Release} {
-		if *d <= 0 {
-			*d = time.Second
-		}
-	}
-	s := empty(set, seed)
+	s := empty(set.withDefaults(), seed)
 	s.minAim, s.topWorth = math.MaxInt64, math.SmallestNonzeroFloat64
-	for i := range set.Classes {
-		c := &set.Classes[i]
+	for i := range s.set.Classes {
+		c := &s.set.Classes[i]
 		s.classes[c.Name] = c
 		s.topWorth, s.minAim = max(s.topWorth, c.Worth), min(s.minAim, c.Aim)
 	}
 	for _, t := range set.Tenants {
-		s.quota[t.Name], s.asked[t.Name] = t.QuotaPerSec/float64(set.Nodes), &trend.Rate{}
+		s.quota[t.Name], s.asked[t.Name] = t.QuotaPerSec/float64(s.set.Nodes), &trend.Rate{}
 	}
-	s.crowd = max(1-2/float64(set.Nodes), 0)
+	s.crowd = max(1-2/float64(s.set.Nodes), 0)
 	return s, nil
 }
 
@@ -92,17 +86,15 @@
 		if entry.Started > v.Started {
 			v.health, v.ratio, v.shunUntil, v.report, v.done = health{}, 1, 0, nil, trend.Rate{}
 			v.sends, v.since, v.luck = nil, s.now, s.rng.Float64()
-			v.turns = v.luck
+			v.credit = slowstart.NewCredit(s.now, v.luck)
 			s.table.Void(v.runs, s.now+1)
 		}
 		if s.zones[entry.Zone] == nil {
 			s.zones[entry.Zone] = &health{}
 		}
 		v.Server, v.path, v.listed = entry, s.zones[entry.Zone], entry.State == StateOn
-		for _, k := range s.set.Kinds {
-			if k.Name == entry.Kind {
-				v.role, v.memory = k.Role, max(k.MemoryTokens, 1)
-			}
+		if kind, known := s.kinds[entry.Kind]; known {
+			v.role, v.memory = kind.Role, max(kind.MemoryTokens, 1)
 		}
 		v.listed = v.listed && v.role != 0
 	}
@@ -133,7 +125,7 @@
 		q.Add(s.now, time.Second, 1)
 	}
 	s.after(e.TimeLeft, timer{e.ID, lookAgain})
-	s.takeTurns()
+	s.creditChance()
 	s.advance(r)
 }
 
@@ -326,8 +318,8 @@
 		}
 	}
 	if s.cold(v) {
-		v.sends = append(v.sends, stamp{s.now, s.cost[r.class]})
-		v.turns--
+		v.sends.Add(s.now, s.cost[r.class])
+		v.credit.Spend()
 	}
 	r.attempts, r.out, r.tried[v] = append(r.attempts, a), r.out+1, true
 	s.act(Attempt{ID: r.ID, Server: v.ID, Timeout: r.deadline - s.now})
--- a/settings.go
+++ b/settings.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
+	"time"
 )
 
 // check tells what is impossible about settings.
@@ -35,3 +37,15 @@
 	}
 	return nil
 }
+
+// withDefaults gives a copy whose figures left at zero have the values that New names.
+func (set Settings) withDefaults() Settings {
+	set.Nodes = max(set.Nodes, 1)
+	set.Classes = slices.Clone(set.Classes)
+	for _, d := range []*time.Duration{&set.Rules.FallWindow, &set.Rules.ColdTime, &set.Rules.Release} {
+		if *d <= 0 {
+			*d = time.Second
+		}
+	}
+	return set
+}
--- a/state.go
+++ b/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ashwood.example/ashwood/internal/prefix"
+	"ashwood.example/ashwood/internal/slowstart"
 	"ashwood.example/ashwood/internal/trend"
 )
 
@@ -42,18 +43,13 @@
 	shunUntil time.Duration
 	refuses   map[[2]string]time.Duration // kinds of request, until when
 	shun      time.Duration               // the last pause after it would not take a request
-	sends     []stamp                     // sends while cold
+	sends     slowstart.Sends             // while cold
 	since     time.Duration               // known to have started anew
-	turns     float64                     // sends that this node may make while it is cold, where many nodes share it
+	credit    slowstart.Credit            // where many nodes share its budget in slow start
 	luck      float64                     // drawn then, for this node's turn while it is cold
 	done      trend.Rate                  // work finished while warm
 }
 
-type stamp struct {
-	at   time.Duration
-	cost float64
-}
-
 // stage is what an attempt does.
 type stage int
 
@@ -115,6 +111,7 @@
 type Scheduler struct {
 	set      Settings
 	rng      *rand.Rand
+	kinds    map[string]Kind
 	classes  map[string]*Class
 	quota    map[string]float64 // this node's part of a tenant's share
 	asked    map[string]*trend.Rate
@@ -212,8 +209,12 @@
 
 // empty is a scheduler that knows nothing yet.
 func empty(set Settings, seed int64) *Scheduler {
+	kinds := map[string]Kind{}
+	for _, kind := range set.Kinds {
+		kinds[kind.Name] = kind
+	}
 	return &Scheduler{
-		set: set, rng: rand.New(rand.NewSource(seed)), classes: map[string]*Class{}, quota: map[string]float64{},
+		set: set, rng: rand.New(rand.NewSource(seed)), kinds: kinds, classes: map[string]*Class{}, quota: map[string]float64{},
 		servers: map[ServerID]*server{}, zones: map[string]*health{}, reqs: map[RequestID]*request{},
 		timers: map[uint64]timer{}, cost: map[*Class]float64{},
 		asked: map[string]*trend.Rate{}, haste: map[string]float64{},
