--- a/scheduler.go
+++ b/scheduler.go
@@ -10,7 +10,6 @@
 	"slices"
 	"time"
 
-	"ashwood.example/ashwood/internal/slowstart"
 	"ashwood.example/ashwood/internal/trend"
 )
 
@@ -66,8 +65,7 @@
 	return s, nil
 }
 
-// members follows the server list. A server that is not on gets nothing more
-// from this moment (rule 3); a new start time empties its blocks and record.
+// members follows the server list.
 func (s *Scheduler) members(e Members) {
 	if e.Form == ListBroken && s.set.Subscribe { // by and by, and not all nodes at once
 		s.after(time.Duration((0.5+s.rng.Float64()/2)*float64(backoffFirst)), timer{what: watchAgain})
@@ -78,25 +76,7 @@
 		}
 	}
 	for _, entry := range e.Entries {
-		v := s.servers[entry.ID]
-		if v == nil {
-			v = newServer(entry.ID)
-			s.servers[entry.ID], s.order = v, append(s.order, v)
-		}
-		if entry.Started > v.Started {
-			v.health, v.ratio, v.shunUntil, v.report, v.done = health{}, 1, 0, nil, trend.Rate{}
-			v.sends, v.since, v.luck = nil, s.now, s.rng.Float64()
-			v.credit = slowstart.NewCredit(s.now, v.luck)
-			s.table.Void(v.runs, s.now+1)
-		}
-		if s.zones[entry.Zone] == nil {
-			s.zones[entry.Zone] = &health{}
-		}
-		v.Server, v.path, v.listed = entry, s.zones[entry.Zone], entry.State == StateOn
-		if kind, known := s.kinds[entry.Kind]; known {
-			v.role, v.memory = kind.Role, max(kind.MemoryTokens, 1)
-		}
-		v.listed = v.listed && v.role != 0
+		s.enter(entry)
 	}
 	slices.SortFunc(s.order, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 	if e.Form == ListStale && s.set.Subscribe {
