Leave prefill engines that do not answer a probe within 12 ms for others

A probe answered within 8 ms stood before reads of 177 to 199 ms, one after 100 ms or refused before reads of 751 to 1,188. An engine without fresh news counts as the mean, so that the busiest were taken as usual. Writers took 15 ms, and were no part of the loss.

Change: a choice waits 12 ms, which a new connection to another zone takes. Engines that have not answered by then are left out for a second as long as others are there, and the next homes are asked once. pause() was a setting's default and is one now.

--- a/choose.go
+++ b/choose.go
@@ -39,7 +39,7 @@
 // serves in one stage, and failing that a writer where writers read.
 func (s *Scheduler) pickReader(r *request) (v *server, write bool) {
 	if p := s.pool(r, reads); len(p) > 0 {
-		return s.byPrefix(r, s.paired(r, p)), false
+		return s.byPrefix(r, s.paired(r, s.answering(p))), false
 	}
 	if p := s.pool(r, mixed); len(p) > 0 {
 		return s.byPrefix(r, p), true
@@ -50,6 +50,19 @@
 	return nil, false
 }
 
+// answering leaves of a pool the servers that answer probes at once, where there are any: one that
+// does not has more work waiting than any report tells, or a path that would be as slow.
+func (s *Scheduler) answering(pool []*server) []*server {
+	prompt := slices.DeleteFunc(slices.Clone(pool), func(v *server) bool {
+		asked := s.now - v.polled
+		return v.polled > v.reportAt && asked >= probeWait && asked < backoffFirst
+	})
+	if len(prompt) == 0 {
+		return pool
+	}
+	return prompt
+}
+
 // paired leaves of a pool the readers in whose cell a writer has room, near to the
 // best anywhere, while states that leave their cell are slow to move: all of a
 // cell's share its one link, which clogs where its writers are gone or full.
--- a/facade.go
+++ b/facade.go
@@ -140,7 +140,7 @@
 }
 
 // Pause is the ms for which a refused client is told to stay away; 0 = no advice.
-func (t *Router) Pause() float64 { return millis(t.sched.pause()) }
+func (t *Router) Pause() float64 { return millis(t.sched.set.Limits.MaxRetryAfter) }
 
 // Pick takes in a request and waits for its first step. When ctx ends, the
 // client has left. What it answers with StepSend is owed a Report.
--- a/homes_test.go
+++ b/homes_test.go
@@ -54,3 +54,56 @@
 		}
 	}
 }
+
+// A reader that does not answer a probe in time has more waiting than any report tells: it is
+// left for one that does, or for others that are asked then, as long as there are any.
+func TestSlowProbe_ReaderIsLeftForOthers(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		readers int
+		answers func(asked int) bool // whether the nth reader that is asked answers in time
+		slow    bool                 // whether one that did not may be chosen
+	}{
+		{"both homes answer", 10, func(int) bool { return true }, false},
+		{"one home answers", 10, func(asked int) bool { return asked != 0 }, false},
+		{"no home answers, others do", 10, func(asked int) bool { return asked > 1 }, false},
+		{"none answers", 10, func(int) bool { return false }, false},
+		{"none answers and there are no others", 2, func(int) bool { return false }, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			set := nodesOf(300)
+			set.Reports, set.Limits.Probes = ReportInline, true
+			n := newNode(t, set, fleetOf(tt.readers, 4)...)
+			silent := map[ServerID]bool{}
+			asked := 0
+			n.ask("q", 1, 7)
+			for range 3 {
+				if _, sent := pick[Attempt](n); sent {
+					break
+				}
+				var timer SetTimer
+				var answered []ServerID
+				for _, action := range n.out {
+					switch a := action.(type) {
+					case Probe:
+						silent[a.Server] = !tt.answers(asked)
+						if asked++; !silent[a.Server] {
+							answered = append(answered, a.Server)
+						}
+					case SetTimer:
+						timer = a
+					}
+				}
+				for _, id := range answered {
+					n.do(Probed{Server: id, Status: Served, Report: Report{ReportInFlight: 0, ReportQueue: 0}})
+				}
+				n.now = timer.At
+				n.do(Timer{timer.Token})
+			}
+			attempt, sent := pick[Attempt](n)
+			if !sent || silent[attempt.Server] != tt.slow || asked == 0 {
+				t.Errorf("sent to %q (%v), asked %d, silent %v", attempt.Server, sent, asked, silent)
+			}
+		})
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -40,7 +40,8 @@
 	spread       = 3                       // readers for a prefix, in parts of what its share of traffic needs
 	blindShare   = 0.2                     // of readers, a prefix's homes at least where no load is told
 	probesAtOnce = 2                       // for one choice
-	probeWait    = 5 * time.Millisecond    // for an answer before a choice
+	probeWait    = 12 * time.Millisecond   // for an answer before a choice, over a new connection to any zone
+	pollRounds   = 2                       // before a choice: the others where the first do not answer
 	probeEvery   = 500 * time.Millisecond  // where load is told on probes alone
 	stopSure     = 3500 * time.Millisecond // of silence, in which work comes to wait where a server hangs
 )
@@ -90,7 +91,7 @@
 	}
 	c := s.classes[e.Class]
 	if c == nil {
-		s.act(Refuse{ID: e.ID, RetryAfter: s.pause(), Why: WhyUnknown})
+		s.act(Refuse{ID: e.ID, RetryAfter: s.set.Limits.MaxRetryAfter, Why: WhyUnknown})
 		return
 	}
 	r := &request{
@@ -134,9 +135,9 @@
 }
 
 func (s *Scheduler) toReader(r *request) {
-	if s.crowd > 0 && !r.polled && s.set.Reports != ReportNone { // own counts tell nothing of its homes
-		r.polled = true
-		homes := s.homes(r, s.pool(r, reads))
+	if s.crowd > 0 && r.polls < pollRounds && s.set.Reports != ReportNone { // own counts tell nothing of them
+		r.polls++
+		homes := s.homes(r, s.answering(s.pool(r, reads)))
 		if s.poll(func(v *server) bool { return slices.Contains(homes, v) }) {
 			s.after(probeWait, timer{r.ID, lookAgain})
 			return
@@ -241,22 +242,13 @@
 func (s *Scheduler) giveUp(r *request, why Why) {
 	c := r.class
 	if r.ran == nil || c.Effect == Pure || c.Effect == Token && c.Group == ScopeAll {
-		s.act(Refuse{ID: r.ID, RetryAfter: s.pause(), Why: why})
+		s.act(Refuse{ID: r.ID, RetryAfter: s.set.Limits.MaxRetryAfter, Why: why})
 	} else {
 		s.act(Fail{ID: r.ID, Why: why})
 	}
 	s.end(r)
 }
 
-// pause is how long a refused client is to stay away: as long as it would heed,
-// since what refuses (memory spoken for, a dead stage) lasts longer than that.
-func (s *Scheduler) pause() time.Duration {
-	if !s.set.Limits.RetryAfter {
-		return 0
-	}
-	return s.set.Limits.MaxRetryAfter
-}
-
 // end closes a request and lets go of whatever is held for it; what is still
 // out is called off, and its outcome releases again (rule 5 on every path).
 func (s *Scheduler) end(r *request) {
--- a/settings.go
+++ b/settings.go
@@ -47,5 +47,8 @@
 			*d = time.Second
 		}
 	}
+	if !set.Limits.RetryAfter {
+		set.Limits.MaxRetryAfter = 0
+	}
 	return set
 }
--- a/state.go
+++ b/state.go
@@ -89,7 +89,7 @@
 	state    *server // reader that holds its read state
 	ahead    *server // writer asked to hold a place
 	held     bool    // and it does
-	polled   bool    // its homes were asked for their load
+	polls    int     // how often its homes were asked for their load
 	near     bool    // a connect to another zone never came up: it goes on in this one
 	asked    int     // places asked for
 	tried    map[*server]bool
