Rename the packages door and figures to admin and metrics

The standard names of the field, in packages, types, variables, tests and pages; the operators' words (check, vars, mgmt) stay at their boundary. Moves and renames alone.

--- a/cmd/ashwood/door_test.go
+++ b/cmd/ashwood/admin_test.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// With every descriptor that the machine allows in use, silent callers at the door and a
+// With every descriptor that the machine allows in use, silent callers at the admin server and a
 // flood of clients at the front, a caller is answered. Counts outlast a reload.
 func TestTheDoorAnswersInAFullHouse(t *testing.T) {
 	const sockets = 96
--- a/cmd/ashwood/main.go
+++ b/cmd/ashwood/main.go
@@ -72,9 +72,9 @@
 	var now phase
 	now.set(starting)
 	var serves atomic.Pointer[front] // the platform's
-	mgmt, mgmtAddr, err := openDoor(cfg.Mgmt, cfg.Limits.Sockets, &now, func() string {
+	mgmt, mgmtAddr, err := openAdmin(cfg.Mgmt, cfg.Limits.Sockets, &now, func() string {
 		if f := serves.Load(); f != nil {
-			return figuresReply(*f)
+			return metricsReply(*f)
 		}
 		return "NO " + *now.Load() + "\n"
 	}, log)
@@ -163,7 +163,7 @@
 	drain    func()       // clients are to go elsewhere
 	shutdown func() error // take nothing more, finish what was taken
 	reload   func(config.Config)
-	vars     func(io.Writer) error // its figures
+	vars     func(io.Writer) error // its metrics
 	share    func(processes int)   // keep to one's part of what the machine allows
 	yield    func(bool)            // while a newer process serves, clients are to go there
 	give     func(platform.Give)   // hand begun answers to another process
--- a/cmd/ashwood/mgmt.go
+++ b/cmd/ashwood/mgmt.go
@@ -7,7 +7,7 @@
 	"strings"
 	"sync/atomic"
 
-	"ashwood.example/ashwood/internal/door"
+	"ashwood.example/ashwood/internal/admin"
 )
 
 // phase is how far the process has come, as operators are told.
@@ -15,11 +15,11 @@
 
 func (p *phase) set(word string) { p.Store(&word) }
 
-// Callers that the door holds at once, by the sockets that the machine allows.
+// Callers that the admin server holds at once, by the sockets that the machine allows.
 const socketsACaller, leastCallers, mostCallers = 32, 4, 16
 
-// openDoor opens the operators' door at an address; without one it gives nil.
-func openDoor(addr string, sockets int, p *phase, vars func() string, log *slog.Logger) (*door.Door, net.Addr, error) {
+// openAdmin serves operators at an address; without one it gives nil.
+func openAdmin(addr string, sockets int, p *phase, vars func() string, log *slog.Logger) (*admin.Server, net.Addr, error) {
 	if addr == "" {
 		return nil, nil, nil
 	}
@@ -27,7 +27,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("mgmt: %w", err)
 	}
-	d := door.New(log, map[string]door.Call{
+	server := admin.New(log, map[string]admin.Call{
 		"check": func() string {
 			if word := *p.Load(); word != serving {
 				return "NO " + word + "\n"
@@ -36,8 +36,8 @@
 		},
 		"vars": vars,
 	}, min(max(sockets/socketsACaller, leastCallers), mostCallers))
-	go d.Serve(l)
-	return d, l.Addr(), nil
+	go server.Serve(l)
+	return server, l.Addr(), nil
 }
 
 // The phases of a process.
@@ -47,8 +47,8 @@
 	stopping = "stopping"
 )
 
-// figuresReply is the reply to vars: what the platform's front counts, then END.
-func figuresReply(f front) string {
+// metricsReply is the reply to vars: what the platform's front counts, then END.
+func metricsReply(f front) string {
 	var b strings.Builder
 	b.WriteString("YES\n")
 	if err := f.vars(&b); err != nil {
--- a/cmd/ashwood/site_test.go
+++ b/cmd/ashwood/site_test.go
@@ -131,7 +131,7 @@
 	log bytes.Buffer
 }
 
-var doorLine = regexp.MustCompile(`msg=serving .* mgmt=(\S+)`)
+var adminLine = regexp.MustCompile(`msg=serving .* mgmt=(\S+)`)
 
 // begin starts a process; ready waits until it says yes.
 func (s *site) begin() *process {
@@ -192,7 +192,7 @@
 	until(p.t, "a line that it serves", func() bool {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		m := doorLine.FindStringSubmatch(p.log.String())
+		m := adminLine.FindStringSubmatch(p.log.String())
 		if m != nil {
 			p.mgmt = m[1]
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,7 +13,7 @@
 
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/internal/clock"
-	"ashwood.example/ashwood/internal/figures"
+	"ashwood.example/ashwood/internal/metrics"
 )
 
 // Times of the calls around an attempt, in milliseconds.
@@ -34,7 +34,7 @@
 	holdTime  float64        // ms in which what is held must be taken; 0 = not told
 	beside    sync.WaitGroup // what runs beside requests: places, releases, probes
 	owner     *owner         // of what is held and wanted no more
-	figures   *figures.Set
+	metrics   *metrics.Set
 	pulses    pulses // of engines with answers open
 }
 
@@ -45,7 +45,7 @@
 	for i, class := range set.Classes {
 		names[i] = class.Name
 	}
-	g.figures = figures.New(names)
+	g.metrics = metrics.New(names)
 	g.owner = newOwner(g, set, seed)
 	var err error
 	g.router, err = ashwood.NewRouter(set, seed, c, func(v ashwood.Server) { g.spawn(func() { g.probe(v) }) })
@@ -93,9 +93,9 @@
 	}
 }
 
-// Figures are this gateway's counts. Attempts are counted here, the ends of requests by
+// Metrics are this gateway's counts. Attempts are counted here, the ends of requests by
 // who gives the answers.
-func (g *Gateway) Figures() *figures.Set { return g.figures }
+func (g *Gateway) Metrics() *metrics.Set { return g.metrics }
 
 // Engines counts the engines in the list and those avoided now; see ashwood.Router.
 func (g *Gateway) Engines() (listed, avoided int) { return g.router.Engines() }
@@ -106,7 +106,7 @@
 // TurnAway tells of a request that a front refuses by itself for want of room, and gives
 // how long its client is to stay away, as Pause does.
 func (g *Gateway) TurnAway(class string) float64 {
-	g.figures.Ended(class, figures.Throttled)
+	g.metrics.Ended(class, metrics.Throttled)
 	return g.Pause()
 }
 
@@ -182,7 +182,7 @@
 		},
 		Sent: func() {
 			h.sent(step.Engine)
-			g.figures.Relayed(req.Class)
+			g.metrics.Relayed(req.Class)
 			if step.Place.ID != "" {
 				g.spawn(func() { g.reserve(actx, step, h) })
 			}
--- a/internal/door/door.go
+++ b/internal/admin/admin.go
@@ -1,7 +1,7 @@
-// Package door answers operators on an address of their own: each connection carries one
+// Package admin answers operators on an address of their own: each connection carries one
 // line, and the reply is lines of which the first starts with YES or NO. It knows no engine
 // and decides nothing.
-package door
+package admin
 
 import (
 	"bufio"
@@ -29,8 +29,8 @@
 // Call answers one call with its whole reply.
 type Call func() string
 
-// Door serves calls by their names.
-type Door struct {
+// Server serves calls by their names.
+type Server struct {
 	log   *slog.Logger
 	calls map[string]Call
 	wait  time.Duration // for a line
@@ -43,19 +43,19 @@
 	running sync.WaitGroup
 }
 
-// New makes a door for these calls and at most so many callers at once: for one more, the
+// New makes a server for these calls and at most so many callers at once: for one more, the
 // one that has waited longest is closed.
-func New(log *slog.Logger, calls map[string]Call, most int) *Door {
-	return &Door{log: log, calls: calls, wait: lineWait, most: max(most, 1)}
+func New(log *slog.Logger, calls map[string]Call, most int) *Server {
+	return &Server{log: log, calls: calls, wait: lineWait, most: max(most, 1)}
 }
 
 // Serve answers on a listener until Close. A caller that fails to be accepted, for want of
-// a descriptor say, is waited for: the door stays.
-func (d *Door) Serve(l net.Listener) error {
-	d.mu.Lock()
-	d.l = l
-	closed := d.closed
-	d.mu.Unlock()
+// a descriptor say, is waited for: the server stays.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.l = l
+	closed := s.closed
+	s.mu.Unlock()
 	if closed {
 		l.Close()
 	}
@@ -65,63 +65,63 @@
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case err != nil:
-			d.log.Warn("mgmt: a caller was not accepted", "err", err)
+			s.log.Warn("mgmt: a caller was not accepted", "err", err)
 			time.Sleep(10 * time.Millisecond) // or this would be the busiest loop of all
 			continue
 		}
-		place := d.enter(c)
-		d.running.Go(func() { d.answer(c, place) })
+		place := s.enter(c)
+		s.running.Go(func() { s.answer(c, place) })
 	}
 }
 
-// Close ends the door and its calls.
-func (d *Door) Close() {
-	d.mu.Lock()
-	d.closed = true
-	if d.l != nil {
-		d.l.Close()
+// Close ends the server and its calls.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	if s.l != nil {
+		s.l.Close()
 	}
-	for e := d.waiting.Front(); e != nil; e = e.Next() {
+	for e := s.waiting.Front(); e != nil; e = e.Next() {
 		e.Value.(net.Conn).Close()
 	}
-	d.mu.Unlock()
-	d.running.Wait()
+	s.mu.Unlock()
+	s.running.Wait()
 }
 
-func (d *Door) enter(c net.Conn) *list.Element {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.waiting.Len() >= d.most {
-		d.waiting.Remove(d.waiting.Front()).(net.Conn).Close()
+func (s *Server) enter(c net.Conn) *list.Element {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting.Len() >= s.most {
+		s.waiting.Remove(s.waiting.Front()).(net.Conn).Close()
 	}
-	return d.waiting.PushBack(c)
+	return s.waiting.PushBack(c)
 }
 
-func (d *Door) answer(c net.Conn, place *list.Element) {
+func (s *Server) answer(c net.Conn, place *list.Element) {
 	defer func() {
 		if p := recover(); p != nil {
-			d.log.Error("panic", "value", p, "stack", string(debug.Stack()))
+			s.log.Error("panic", "value", p, "stack", string(debug.Stack()))
 		}
-		d.mu.Lock()
-		d.waiting.Remove(place) // nothing, if it has been removed
-		d.mu.Unlock()
+		s.mu.Lock()
+		s.waiting.Remove(place) // nothing, if it has been removed
+		s.mu.Unlock()
 		c.Close()
 	}()
-	c.SetReadDeadline(time.Now().Add(d.wait))
+	c.SetReadDeadline(time.Now().Add(s.wait))
 	line, err := readLine(c)
 	if err != nil && line == "" && errors.Is(err, io.EOF) {
 		return // it has left without a word
 	}
-	reply := d.reply(line, err)
+	reply := s.reply(line, err)
 	c.SetWriteDeadline(time.Now().Add(replyWait))
 	io.WriteString(c, reply)
 }
 
-func (d *Door) reply(line string, err error) string {
+func (s *Server) reply(line string, err error) string {
 	if err != nil {
 		return fmt.Sprintf("NO %v\n", err)
 	}
-	call := d.calls[line]
+	call := s.calls[line]
 	if call == nil {
 		return fmt.Sprintf("NO unknown call %.40q\n", line)
 	}
--- a/internal/door/door_test.go
+++ b/internal/admin/admin_test.go
@@ -1,4 +1,4 @@
-package door
+package admin
 
 import (
 	"io"
@@ -11,8 +11,8 @@
 
 const most = 16
 
-// open serves a door on loopback until the test ends.
-func open(t *testing.T, wait time.Duration) (d *Door, addr string) {
+// open runs a server on loopback until the test ends.
+func open(t *testing.T, wait time.Duration) (d *Server, addr string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -36,7 +36,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(10 * time.Second)) // a bound of the test, not of the door
+	c.SetDeadline(time.Now().Add(10 * time.Second)) // a bound of the test, not of the server
 	return c
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,7 +35,7 @@
 	Name      string
 	Listen    string
 	Discovery string
-	Mgmt      string // operators' door; none = off
+	Mgmt      string // where operators ask; none = off
 	Seed      int64
 	Limits    Limits
 	Known     wire.Targets // the list as this gateway last had it
--- a/internal/figures/figures.go
+++ b/internal/metrics/metrics.go
@@ -1,6 +1,6 @@
-// Package figures counts what operators are shown: requests by how they ended, and
+// Package metrics counts what operators are shown: requests by how they ended, and
 // attempts. Adding is one atomic operation, so that nothing waits for a reader.
-package figures
+package metrics
 
 import (
 	"fmt"
@@ -57,14 +57,14 @@
 	}
 }
 
-// Gauges are figures of this moment.
+// Gauges are the values of this moment.
 type Gauges struct {
 	Open    int // requests taken and not ended
 	Listed  int // engines in the list
 	Avoided int // of them, those that the decisions avoid now
 }
 
-// Statsd writes all figures in the form name:value|kind, one a line, names behind
+// Statsd writes all metrics in the form name:value|kind, one a line, names behind
 // prefix. Counts may be of slightly different moments; each only grows.
 func (s *Set) Statsd(w io.Writer, prefix string, g Gauges) error {
 	for _, name := range s.names {
@@ -77,14 +77,14 @@
 			{"faulted", c.ended[Faulted].Load()}, {"relayed", c.relayed.Load()},
 		} {
 			if _, err := fmt.Fprintf(w, "%s.%s.%s:%d|c\n", prefix, f.figure, name, f.value); err != nil {
-				return fmt.Errorf("figures: %w", err)
+				return fmt.Errorf("metrics: %w", err)
 			}
 		}
 	}
 	_, err := fmt.Fprintf(w, "%s.open_requests:%d|g\n%s.registry_entries:%d|g\n%s.out_of_rotation:%d|g\n",
 		prefix, g.Open, prefix, g.Listed, prefix, g.Avoided)
 	if err != nil {
-		return fmt.Errorf("figures: %w", err)
+		return fmt.Errorf("metrics: %w", err)
 	}
 	return nil
 }
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -60,7 +60,7 @@
 // Do is what the shell is to do next.
 type Do struct {
 	Tell     bool    // send clients elsewhere (once, when draining begins)
-	Refuse   bool    // close the door (once, when stopping begins)
+	Refuse   bool    // admit nobody any more (once, when stopping begins)
 	End      []ID    // end these requests: their streams break, the others fail
 	Finished bool    // nothing is inside any more, or the time to settle is over
 	Left     int     // with Finished: requests that did not let go in time
--- a/lifecycle/lifecycle_test.go
+++ b/lifecycle/lifecycle_test.go
@@ -38,10 +38,10 @@
 	}
 	late := enter(t, m) // clients still come for a while
 	if do := m.Step(1500); !do.Refuse || do.Finished || do.Next != 4500 {
-		t.Fatalf("the door: %+v", do)
+		t.Fatalf("the stop: %+v", do)
 	}
 	if _, err := m.Enter(); !errors.Is(err, ErrStopping) {
-		t.Fatalf("behind the door: %v", err)
+		t.Fatalf("after the stop began: %v", err)
 	}
 	m.Leave(a)
 	m.Leave(a)
@@ -117,7 +117,7 @@
 	}
 }
 
-// In any order of events: phases only go forward, nobody enters behind the door,
+// In any order of events: phases only go forward, nobody enters after the stop began,
 // each is ended at most once, and a stop with finite times ends.
 func TestAnyOrder(t *testing.T) {
 	for seed := range uint64(300) {
--- a/router/answer.go
+++ b/router/answer.go
@@ -8,7 +8,7 @@
 
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/gateway"
-	"ashwood.example/ashwood/internal/figures"
+	"ashwood.example/ashwood/internal/metrics"
 	"ashwood.example/ashwood/lifecycle"
 )
 
@@ -17,7 +17,7 @@
 	gateway.Stream
 	ctx   context.Context
 	leave func()
-	ended func(figures.End) // counts it
+	ended func(metrics.End) // counts it
 	whole bool              // its last piece has been passed on
 	left  bool              // its client has
 	over  bool              // it has been counted
@@ -26,7 +26,7 @@
 func (r *Router) stream(ctx context.Context, id lifecycle.ID, class string, inner gateway.Stream) *stream {
 	return &stream{
 		Stream: inner, ctx: ctx, leave: func() { r.leave(id) },
-		ended: func(how figures.End) { r.gw.Figures().Ended(class, how) },
+		ended: func(how metrics.End) { r.gw.Metrics().Ended(class, how) },
 	}
 }
 
@@ -59,9 +59,9 @@
 	switch {
 	case s.over || s.left: // whose client has left is counted nowhere
 	case s.whole:
-		s.ended(figures.Fulfilled)
+		s.ended(metrics.Fulfilled)
 	default:
-		s.ended(figures.Faulted)
+		s.ended(metrics.Faulted)
 	}
 	s.over = true
 	return s.Stream.Close()
--- a/router/figures_test.go
+++ b/router/metrics_test.go
@@ -16,12 +16,12 @@
 	if err := r.Vars(&b); err != nil {
 		t.Fatal(err)
 	}
-	figures := map[string]string{}
+	values := map[string]string{}
 	for line := range strings.Lines(b.String()) {
 		name, value, _ := strings.Cut(strings.TrimSpace(line), ":")
-		figures[name] = value
+		values[name] = value
 	}
-	return figures
+	return values
 }
 
 func wantVars(t *testing.T, r *Router, want map[string]string) {
@@ -69,7 +69,7 @@
 		})
 	}
 	all.Wait()
-	// Refused at the house's door while an order is on its way, which then breaks.
+	// Refused by the limits while an order is on its way, which then breaks.
 	f.writing = make(chan struct{})
 	f.pieces = make(chan string)
 	for len(f.reached) > 0 {
--- a/router/router.go
+++ b/router/router.go
@@ -18,7 +18,7 @@
 
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/gateway"
-	"ashwood.example/ashwood/internal/figures"
+	"ashwood.example/ashwood/internal/metrics"
 	"ashwood.example/ashwood/lifecycle"
 	"ashwood.example/ashwood/limits"
 )
@@ -185,10 +185,10 @@
 }
 
 // Vars writes the router's counts since its start and its gauges, one name:value|kind a
-// line, for operators; see the package figures for what counts when.
+// line, for operators; see the package metrics for what counts when.
 func (r *Router) Vars(w io.Writer) error {
 	listed, avoided := r.gw.Engines()
-	return r.gw.Figures().Statsd(w, varsPrefix, figures.Gauges{Open: r.InFlight(), Listed: listed, Avoided: avoided})
+	return r.gw.Metrics().Statsd(w, varsPrefix, metrics.Gauges{Open: r.InFlight(), Listed: listed, Avoided: avoided})
 }
 
 const varsPrefix = "app" // of the names, as the operators' page has them
@@ -218,15 +218,15 @@
 func (r *Router) TurnAway(class string) float64 { return r.gw.TurnAway(class) }
 
 // Serve takes a request to its final answer, or to the beginning of one, for
-// fronts: a request at the door that is turned away is refused like any other.
+// fronts: a request that a front turns away is refused like any other.
 // When ctx ends, the client has left. A served reply's stream is to be closed.
 func (r *Router) Serve(ctx context.Context, req *gateway.Request) (gateway.Reply, error) {
 	reply, err := r.serve(ctx, req)
 	switch {
 	case err != nil || reply.Kind == gateway.Failed:
-		r.gw.Figures().Ended(req.Class, figures.Faulted)
+		r.gw.Metrics().Ended(req.Class, metrics.Faulted)
 	case reply.Kind == gateway.Refused:
-		r.gw.Figures().Ended(req.Class, figures.Throttled)
+		r.gw.Metrics().Ended(req.Class, metrics.Throttled)
 	}
 	return reply, err
 }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -184,7 +184,7 @@
 	<-shut
 	var refused *RefusedError
 	if _, err := r.Do(context.Background(), request("y", "chat")); !errors.As(err, &refused) || !errors.Is(err, ErrShuttingDown) || refused.RetryAfter <= 0 {
-		t.Errorf("behind the door: %v", err)
+		t.Errorf("after the stop began: %v", err)
 	}
 	close(f.pieces)
 	for _, err := range a.Pieces() {
