Take a prefill engine in slow start where it is sooner done than the busy home

Load was counted in requests, of which prompts differ by orders of magnitude (a home with 5 requests had 28,000 tokens waiting).

Change: one engine in slow start is asked for its load beside the homes, and is taken where by the tokens told as waiting it has read the prompt sooner, at the settings' part of its speed. Load is counted by the prompt tokens that wait, where reports tell them (x1). Building tables of settings and two sums moved to state.go.

--- a/choose.go
+++ b/choose.go
@@ -87,19 +87,19 @@
 // many nodes, own counts are chance: reports tell, with age the less, and the mean.
 func (s *Scheduler) counts(role Role) (count func(*server) float64, chance float64) {
 	mean, _ := s.mean(role, func(v *server) (float64, bool) { return float64(v.reads), true })
-	told, heard := s.mean(role, func(v *server) (float64, bool) { return v.running(), len(v.report) > 0 })
+	told, heard := s.mean(role, func(v *server) (float64, bool) { return s.running(v), len(v.report) > 0 })
 	if s.set.Nodes > manyNodes && heard > 0 {
 		return func(v *server) float64 {
 			if len(v.report) == 0 {
 				return told
 			}
-			return told + (v.running()-told)*math.Exp(-float64(s.now-v.reportAt)/float64(4*s.minAim))
+			return told + (s.running(v)-told)*math.Exp(-float64(s.now-v.reportAt)/float64(4*s.minAim))
 		}, 1
 	}
 	return func(v *server) float64 {
 		n := trend.Fleet(s.set.Nodes, float64(v.reads), mean, 1)
 		if len(v.report) > 0 && s.now-v.reportAt < probeEvery {
-			n = max(n*(1-s.crowd), v.running())
+			n = max(n*(1-s.crowd), s.running(v))
 		}
 		return n
 	}, s.crowd * float64(s.set.Nodes-1) * mean / math.Sqrt(1+mean)
@@ -128,10 +128,7 @@
 	limit := sum/n + deviations*max(math.Sqrt(max(sq/n-sum/n*sum/n, 0)), chance)
 	homes := s.homes(r, pool)
 	for _, v := range pool {
-		share, _ := s.match(r, v)
-		if slices.Contains(homes, v) {
-			share = max(share, r.PrefixTokens, 1)
-		}
+		share := s.share(r, v, homes)
 		if share == 0 || count(v) > limit+1e-9 || best != nil && share < top {
 			continue
 		}
@@ -140,7 +137,47 @@
 			best, top = v, share
 		}
 	}
-	return cmp.Or(best, fewest)
+	return s.orSlowStart(cmp.Or(best, fewest), pool, func(v *server) float64 {
+		work := count(v)*s.prompt + r.PromptTokens - s.share(r, v, homes)
+		if v == homes[0] {
+			work = count(v) * s.prompt // little of the prompt is new where the session has been before
+		}
+		return work
+	})
+}
+
+// share is how much of a prompt a reader holds, in tokens, a home at least the shared prefix.
+func (s *Scheduler) share(r *request, v *server, homes []*server) float64 {
+	tokens, _ := s.match(r, v)
+	if slices.Contains(homes, v) {
+		return max(tokens, r.PrefixTokens, 1)
+	}
+	return tokens
+}
+
+// orSlowStart leaves a choice for a reader in slow start that has been heard from just now and would
+// be sooner done: what a choice keeps of a prompt is worth the tokens that need not be read, no more.
+// Others that are idle are not taken so: one that fails at once is idle too.
+func (s *Scheduler) orSlowStart(choice *server, pool []*server, work func(*server) float64) *server {
+	least := work(choice) * max(s.set.Rules.ColdFrom, leastCold)
+	for _, v := range pool {
+		if s.cold(v) && s.now-v.reportAt < probeEvery && work(v) < least {
+			choice, least = v, work(v)
+		}
+	}
+	return choice
+}
+
+// candidates are the readers to ask before a choice: the prefix's homes, and one in slow start,
+// drawn, which few prompts would lead to.
+func (s *Scheduler) candidates(r *request, pool []*server) []*server {
+	candidates := s.homes(r, pool)
+	for _, i := range s.rng.Perm(len(pool)) {
+		if s.cold(pool[i]) {
+			return append(candidates, pool[i])
+		}
+	}
+	return candidates
 }
 
 // homes are the two readers to which a prefix's and then the session's key hash,
@@ -225,12 +262,7 @@
 	}
 	used, heard := s.mean(role, wanted)
 	held, _ := s.mean(role, func(v *server) (float64, bool) { return v.held, true })
-	cell, told := map[int]float64{}, map[int]float64{}
-	for _, v := range s.order {
-		if x, ok := wanted(v); ok && v.listed && v.role == role {
-			cell[v.Cell], told[v.Cell] = cell[v.Cell]+x, told[v.Cell]+1
-		}
-	}
+	cell, told := s.byCell(role, wanted)
 	return func(v *server) float64 {
 		room := v.memory - trend.Fleet(s.set.Nodes, v.held, held, s.prompt)
 		if heard > 0 {
--- a/homes_test.go
+++ b/homes_test.go
@@ -107,3 +107,66 @@
 		})
 	}
 }
+
+// Where tokens are told, they are the load: few long prompts are more work than many short ones.
+func TestLoad_TokensCountBeforeRequests(t *testing.T) {
+	n := newNode(t, nodesOf(300), fleetOf(2, 2)...)
+	n.s.prompt = 1000
+	short := Report{ReportInFlight: 9, ReportQueue: 8, ReportWaiting: 2}
+	long := Report{ReportInFlight: 2, ReportQueue: 1, ReportWaiting: 60}
+	for report, want := range map[*Report]float64{&short: 2, &long: 60, {ReportInFlight: 9, ReportQueue: 8}: 9, {}: 0} {
+		if got := n.s.running(&server{report: *report}); got != want {
+			t.Errorf("%v: load of %v requests, want %v", *report, got, want)
+		}
+	}
+	n.s.prompt = 0
+	if got := n.s.running(&server{report: long}); got != 2 {
+		t.Errorf("before any prompt is known: %v, want 2", got)
+	}
+}
+
+// A reader in slow start is taken where it will have read the prompt before the home has, by
+// what both have told just now; a warm one that is idle is not, as one that fails at once is idle.
+func TestReaderInSlowStart_TakenWhereItIsSooner(t *testing.T) {
+	for _, tt := range []struct {
+		name              string
+		home, cold        float64 // thousands of tokens that wait there
+		heard, inSlow, ok bool
+	}{
+		{"home idle", 0, 0, true, true, false},
+		{"home has a few prompts", 0.5, 0, true, true, false},
+		{"home is busy", 3, 0, true, true, true},
+		{"both are busy", 3, 3, true, true, false},
+		{"home is busy, the other not heard from", 3, 0, false, true, false},
+		{"home is busy, the idle one is warm", 3, 0, true, false, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			set := nodesOf(300)
+			set.Reports = ReportInline
+			n := newNode(t, set, fleetOf(12, 2)...)
+			n.s.prompt, n.s.now = 400, n.now
+			r := &request{Request: Request{ID: "q", Session: 3, Prefix: 7, PrefixTokens: 160, PromptTokens: 320}, class: n.s.classes["chat"]}
+			readers := n.s.pool(r, reads)
+			homes := n.s.homes(r, readers)
+			for _, v := range readers { // all others have as much to do as the home
+				v.report, v.reportAt = Report{ReportWaiting: tt.home}, n.now
+			}
+			var other *server
+			for _, v := range readers {
+				if v != homes[0] && v != homes[1] {
+					other = v
+				}
+			}
+			if tt.inSlow {
+				other.Started = n.now
+			}
+			other.report, other.reportAt = Report{ReportWaiting: tt.cold}, n.now
+			if !tt.heard {
+				other.reportAt -= probeEvery
+			}
+			if got := n.s.byPrefix(r, readers); (got == other) != tt.ok {
+				t.Errorf("sent to %s, a home is %s, the other %s", got.ID, homes[0].ID, other.ID)
+			}
+		})
+	}
+}
--- a/internal/wire/report.go
+++ b/internal/wire/report.go
@@ -10,13 +10,14 @@
 
 var reportNames = map[string]string{
 	"busy_reqs": ashwood.ReportInFlight, "pending": ashwood.ReportQueue, "x0": ashwood.ReportMemory,
+	"x1": ashwood.ReportWaiting,
 }
 
 // textNames are the names of the same values on sockets, where reports hold "the
 // fields that the settings name": those of the simulator, or of the page's example.
 var textNames = map[string]string{
 	"inflight": ashwood.ReportInFlight, "queue": ashwood.ReportQueue, "x0": ashwood.ReportMemory,
-	"busy_reqs": ashwood.ReportInFlight, "pending": ashwood.ReportQueue,
+	"x1": ashwood.ReportWaiting, "busy_reqs": ashwood.ReportInFlight, "pending": ashwood.ReportQueue,
 }
 
 // ParseReport reads a load report in the form name=value,name=value. What it
--- a/lab/emulator/emulator_test.go
+++ b/lab/emulator/emulator_test.go
@@ -118,7 +118,7 @@
 		t.Fatal(err)
 	}
 	resp.Body.Close()
-	if report := wire.ParseReport(resp.Header.Get("X-Pressure")); len(report) != 3 {
+	if report := wire.ParseReport(resp.Header.Get("X-Pressure")); len(report) != 4 {
 		t.Errorf("report %q", resp.Header.Get("X-Pressure"))
 	}
 	if got := ask(t, http.MethodPost, "http://"+writer+"/bootstrap/rooms/"+id); got != http.StatusNoContent {
--- a/outcomes.go
+++ b/outcomes.go
@@ -192,14 +192,7 @@
 // shared tells whether the peers of a silent server with work of this node are not
 // much livelier. Leaving it would only begin anew elsewhere what is slow everywhere.
 func (s *Scheduler) shared(v *server) bool {
-	oldest := map[*server]time.Duration{}
-	for _, r := range s.reqs {
-		for _, a := range r.attempts {
-			if a.out && !a.begun && a.srv.role == v.role && (oldest[a.srv] == 0 || a.sent < oldest[a.srv]) {
-				oldest[a.srv] = a.sent
-			}
-		}
-	}
+	oldest := s.oldestWaits(v.role)
 	silence := func(v *server) time.Duration { return s.now - max(oldest[v], v.alive) }
 	var peers []time.Duration
 	for o := range oldest {
--- a/scheduler.go
+++ b/scheduler.go
@@ -39,7 +39,8 @@
 	tollLimit    = 0.5
 	spread       = 3                       // readers for a prefix, in parts of what its share of traffic needs
 	blindShare   = 0.2                     // of readers, a prefix's homes at least where no load is told
-	probesAtOnce = 2                       // for one choice
+	leastCold    = 0.1                     // of its speed that a server in slow start has at the least
+	probesAtOnce = 3                       // for one choice
 	probeWait    = 12 * time.Millisecond   // for an answer before a choice, over a new connection to any zone
 	pollRounds   = 2                       // before a choice: the others where the first do not answer
 	probeEvery   = 500 * time.Millisecond  // where load is told on probes alone
@@ -52,18 +53,7 @@
 	if err := set.check(); err != nil {
 		return nil, err
 	}
-	s := empty(set.withDefaults(), seed)
-	s.minAim, s.topWorth = math.MaxInt64, math.SmallestNonzeroFloat64
-	for i := range s.set.Classes {
-		c := &s.set.Classes[i]
-		s.classes[c.Name] = c
-		s.topWorth, s.minAim = max(s.topWorth, c.Worth), min(s.minAim, c.Aim)
-	}
-	for _, t := range set.Tenants {
-		s.quota[t.Name], s.asked[t.Name] = t.QuotaPerSec/float64(s.set.Nodes), &trend.Rate{}
-	}
-	s.crowd = max(1-2/float64(s.set.Nodes), 0)
-	return s, nil
+	return empty(set.withDefaults(), seed), nil
 }
 
 // members follows the server list.
@@ -137,8 +127,8 @@
 func (s *Scheduler) toReader(r *request) {
 	if s.crowd > 0 && r.polls < pollRounds && s.set.Reports != ReportNone { // own counts tell nothing of them
 		r.polls++
-		homes := s.homes(r, s.answering(s.pool(r, reads)))
-		if s.poll(func(v *server) bool { return slices.Contains(homes, v) }) {
+		candidates := s.candidates(r, s.answering(s.pool(r, reads)))
+		if s.poll(func(v *server) bool { return slices.Contains(candidates, v) }) {
 			s.after(probeWait, timer{r.ID, lookAgain})
 			return
 		}
--- a/state.go
+++ b/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"math/rand"
 	"time"
 
@@ -169,8 +170,14 @@
 	return &server{ratio: 1, runs: prefix.Held{}, refuses: map[[2]string]time.Duration{}, hash: hashOf(id)}
 }
 
-// running is the unfinished work that a server last reported, 0 without a report.
-func (v *server) running() float64 { return max(v.report[ReportInFlight], v.report[ReportQueue]) }
+// running is the unfinished work that a server last reported, in requests of the mean prompt, 0
+// without a report. Prompts differ by orders of magnitude: where tokens are told, they count.
+func (s *Scheduler) running(v *server) float64 {
+	if waiting, told := v.report[ReportWaiting]; told && s.prompt > 0 {
+		return waiting * 1000 / s.prompt
+	}
+	return max(v.report[ReportInFlight], v.report[ReportQueue])
+}
 
 // score is the rank of a server for a key, alike at all nodes (rendezvous hashing).
 func (v *server) score(key uint64) uint64 {
@@ -207,19 +214,57 @@
 	return float64(held * blockTokens), float64(known * blockTokens)
 }
 
-// empty is a scheduler that knows nothing yet.
+// empty is a scheduler that knows its settings, and nothing of the fleet yet.
 func empty(set Settings, seed int64) *Scheduler {
-	kinds := map[string]Kind{}
-	for _, kind := range set.Kinds {
-		kinds[kind.Name] = kind
-	}
-	return &Scheduler{
-		set: set, rng: rand.New(rand.NewSource(seed)), kinds: kinds, classes: map[string]*Class{}, quota: map[string]float64{},
-		servers: map[ServerID]*server{}, zones: map[string]*health{}, reqs: map[RequestID]*request{},
-		timers: map[uint64]timer{}, cost: map[*Class]float64{},
+	s := &Scheduler{
+		set: set, rng: rand.New(rand.NewSource(seed)), kinds: map[string]Kind{}, classes: map[string]*Class{},
+		quota: map[string]float64{}, servers: map[ServerID]*server{}, zones: map[string]*health{},
+		reqs: map[RequestID]*request{}, timers: map[uint64]timer{}, cost: map[*Class]float64{},
 		asked: map[string]*trend.Rate{}, haste: map[string]float64{},
 		copies: 1, table: prefix.Table{MaxBlocks: maxBlocks, Expiry: blockExpiry},
+		minAim: math.MaxInt64, topWorth: math.SmallestNonzeroFloat64,
+		crowd: max(1-2/float64(set.Nodes), 0),
+	}
+	for _, kind := range set.Kinds {
+		s.kinds[kind.Name] = kind
+	}
+	for i := range set.Classes {
+		c := &set.Classes[i]
+		s.classes[c.Name] = c
+		s.topWorth = max(s.topWorth, c.Worth)
+		s.minAim = min(s.minAim, c.Aim)
+	}
+	for _, t := range set.Tenants {
+		s.quota[t.Name] = t.QuotaPerSec / float64(set.Nodes)
+		s.asked[t.Name] = &trend.Rate{}
+	}
+	return s
+}
+
+// byCell sums a figure over the listed servers of a role that have it, by cell, and counts them.
+func (s *Scheduler) byCell(role Role, figure func(*server) (float64, bool)) (sum, n map[int]float64) {
+	sum, n = map[int]float64{}, map[int]float64{}
+	for _, v := range s.order {
+		if x, ok := figure(v); ok && v.listed && v.role == role {
+			sum[v.Cell] += x
+			n[v.Cell]++
+		}
+	}
+	return sum, n
+}
+
+// oldestWaits gives, by server of a role, when the oldest of this node's attempts was sent that
+// have no answer yet.
+func (s *Scheduler) oldestWaits(role Role) map[*server]time.Duration {
+	oldest := map[*server]time.Duration{}
+	for _, r := range s.reqs {
+		for _, a := range r.attempts {
+			if a.out && !a.begun && a.srv.role == role && (oldest[a.srv] == 0 || a.sent < oldest[a.srv]) {
+				oldest[a.srv] = a.sent
+			}
+		}
 	}
+	return oldest
 }
 
 func stageOf(write bool, from, to *server) stage {
--- a/types.go
+++ b/types.go
@@ -218,7 +218,8 @@
 const (
 	ReportInFlight = "inflight"
 	ReportQueue    = "queue"
-	ReportMemory   = "memory" // share of its memory that is held
+	ReportMemory   = "memory"  // share of its memory that is held
+	ReportWaiting  = "waiting" // thousands of prompt tokens to be read or fetched
 )
 
 // Outcome tells how an attempt ended.
