--- a/admission_test.go
+++ b/admission_test.go
@@ -125,3 +125,37 @@
 		}
 	}
 }
+
+// A prompt that fits into no server's memory is refused at once: nothing is read, and no place is
+// asked for. Where a kind does not tell its memory, nobody knows.
+func TestPromptLongerThanAnyMemory_IsRefused(t *testing.T) {
+	for _, tt := range []struct {
+		name         string
+		read, write  float64 // memory of the kinds
+		prompt       float64
+		wantsRefusal bool
+	}{
+		{"fits", 1e5, 1e5, 99999, false},
+		{"too long for prefill", 1e4, 1e5, 10001, true},
+		{"too long for decode", 1e5, 1e4, 10001, true},
+		{"memory of one token", 1, 1, 320, true},
+		{"decode does not tell", 1e5, 0, 99999, false},
+		{"nobody tells", 0, 0, 1e9, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			set := settings()
+			set.Kinds = []Kind{{"reader", RoleRead, tt.read}, {"writer", RoleWrite, tt.write}}
+			n := newNode(t, set, reader("r1"), writer("w1", 0))
+			n.do(Request{ID: "a", Class: "chat", Session: 1, PromptTokens: tt.prompt, TimeLeft: 5 * time.Second})
+			if !tt.wantsRefusal {
+				n.sentTo("r1")
+				return
+			}
+			lacks[Attempt](n)
+			lacks[Ahead](n)
+			if refusal, ok := pick[Refuse](n); !ok || refusal.Why != WhyTooLong {
+				t.Errorf("actions %v", n.out)
+			}
+		})
+	}
+}
--- a/choose.go
+++ b/choose.go
@@ -180,10 +180,9 @@
 	return candidates
 }
 
-// homes are the two readers to which a prefix's and then the session's key hash,
-// the prefix's among more readers the more traffic begins with it. Many nodes each see too
-// little of that, and where no load is told nothing else shows that a home is overrun: it has
-// as many from the start as a prefix needs that a good part of all begins with.
+// homes are the two readers to which a prefix's and then the session's key hash, the prefix's
+// among more readers the more traffic begins with it. Many nodes see too little of that, and where
+// no load is told nothing else shows that a home is overrun: it has a good part of them at once.
 func (s *Scheduler) homes(r *request, pool []*server) []*server {
 	uses, n := 0.0, float64(len(pool))
 	for _, v := range pool {
--- a/scheduler.go
+++ b/scheduler.go
@@ -97,6 +97,10 @@
 	}
 	s.after(e.TimeLeft, timer{e.ID, lookAgain})
 	s.creditChance()
+	if r.PromptTokens > s.longest {
+		s.giveUp(r, WhyTooLong)
+		return
+	}
 	s.advance(r)
 }
 
--- a/state.go
+++ b/state.go
@@ -118,6 +118,7 @@
 	asked    map[string]*trend.Rate
 	topWorth float64
 	minAim   time.Duration
+	longest  float64            // tokens of a prompt that fits into the memory of some server of each stage
 	crowd    float64            // of nodes: 0 where own counts tell of the fleet (up to two), near 1 where they are chance
 	haste    map[string]float64 // of a tenant's clients: how far before the shortest aim they leave
 	servers  map[ServerID]*server
@@ -228,6 +229,7 @@
 	for _, kind := range set.Kinds {
 		s.kinds[kind.Name] = kind
 	}
+	s.longest = min(mostMemory(set.Kinds, RoleRead), mostMemory(set.Kinds, RoleWrite))
 	for i := range set.Classes {
 		c := &set.Classes[i]
 		s.classes[c.Name] = c
@@ -241,6 +243,25 @@
 	return s
 }
 
+// mostMemory is the memory in tokens of the largest kind of server of a stage, infinite where
+// there is none or a kind does not tell its own.
+func mostMemory(kinds []Kind, stage Role) float64 {
+	most := 0.0
+	for _, kind := range kinds {
+		switch {
+		case kind.Role != stage && kind.Role != RoleBoth:
+		case kind.MemoryTokens == 0:
+			return math.Inf(1)
+		default:
+			most = max(most, kind.MemoryTokens)
+		}
+	}
+	if most == 0 {
+		return math.Inf(1)
+	}
+	return most
+}
+
 // byCell sums a figure over the listed servers of a role that have it, by cell, and counts them.
 func (s *Scheduler) byCell(role Role, figure func(*server) (float64, bool)) (sum, n map[int]float64) {
 	sum, n = map[int]float64{}, map[int]float64{}
--- a/types.go
+++ b/types.go
@@ -294,6 +294,7 @@
 	WhyNoWriter Why = "no-writer"
 	WhyNoRoom   Why = "no-room"  // the writers' memory is spoken for
 	WhyTooLate  Why = "too-late" // a first token would be
+	WhyTooLong  Why = "too-long" // no server's memory takes the prompt
 )
 
 // Refuse is a final answer: trying again does no harm.
