Let what is too late grow with the prompt, as the settings' aim does

Cause: a request was refused before its first attempt when its first token would come later than a part of the shortest aim; the part of the aim that the settings add for each 1,000 prompt tokens (AimPer1K) was read and never used.

Change: the limit is worked out from the aim with that part.

--- a/admission_test.go
+++ b/admission_test.go
@@ -159,3 +159,28 @@
 		})
 	}
 }
+
+// Where the settings allow long prompts more time, what is too late grows with the prompt.
+func TestTooLate_LongPromptsHaveTheirAim(t *testing.T) {
+	for _, tt := range []struct {
+		per1K   time.Duration
+		wait    time.Duration
+		refused bool
+	}{
+		{0, 900 * ms, false}, {0, 1200 * ms, true},
+		{100 * ms, 1200 * ms, false}, {100 * ms, 1700 * ms, true}, // a second and five times 100 ms
+	} {
+		set := settings()
+		set.Reports = ReportNone
+		set.Classes[0].AimPer1K = tt.per1K
+		n := newNode(t, set, reader("r1"), writer("w1", 0))
+		n.s.servers["r1"].queue = 1000
+		for range 10 {
+			n.s.pace[reading].Observe(0, tt.wait, 6000)
+		}
+		n.do(Request{ID: "a", Class: "chat", Session: 1, PromptTokens: 5000, TimeLeft: 5 * time.Second})
+		if _, got := pick[Refuse](n); got != tt.refused {
+			t.Errorf("%v for 1,000 tokens, %v to wait: refused %v, want %v", tt.per1K, tt.wait, got, tt.refused)
+		}
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -163,8 +163,8 @@
 
 // hopeless tells of a request that would come too late even at the servers
 // chosen, or for which the writers' reported memory is spoken for (a full writer
-// reads answers anew). All classes answer to the shortest aim, or the patient would
-// keep queues too long. It may hurt after a slow spell, until the pace has aged.
+// reads answers anew). All classes answer to the shortest aim, longer for long prompts as
+// the settings say, or the patient would keep queues too long. It may hurt after a slow spell.
 func (s *Scheduler) hopeless(r *request, v *server) Why {
 	least, room, queued, told := math.Inf(1), 0.0, 0.0, false
 	matched, _ := s.match(r, v)
@@ -182,7 +182,8 @@
 	// What is being read will want room too: here what waits, at the others what comes in while a read takes.
 	each := s.coming.Add(s.now, time.Second, 0) * s.pace[reading].Y / float64(time.Second)
 	room -= trend.Fleet(s.set.Nodes, queued, each, s.prompt)
-	limit := (float64(s.minAim) - s.haste[r.Tenant]) * (1 + r.class.Worth/s.topWorth) / 2
+	aim := float64(s.minAim) + float64(r.class.AimPer1K)*r.PromptTokens/1000
+	limit := (aim - s.haste[r.Tenant]) * (1 + r.class.Worth/s.topWorth) / 2
 	if q := s.quota[r.Tenant]; q > 0 { // the further over its share, the smaller its part of the aim
 		limit *= min(1, max(s.set.OverShareWorth, q/max(s.asked[r.Tenant].Add(s.now, time.Second, 0), q/2)))
 	}
