Give prefixes one home in the gateway's zone and one elsewhere, of many gateways

Change: above eight gateways the first home is ranked among the zone's prefill engines, the second among the others; the own one is taken where both are alike.

Test: TestHomes_OneInTheOwnZone, new. TestRequestLeavesASilentZone began with requests that went to another zone by chance; its own zone's engine is busy now, and none may go there first.

--- a/choose.go
+++ b/choose.go
@@ -133,7 +133,7 @@
 			continue
 		}
 		if best == nil || share > top || count(v) < count(best)-chance ||
-			count(v) <= count(best)+chance && v.score(r.Session) > best.score(r.Session) {
+			count(v) <= count(best)+chance && s.closer(r, v, best) {
 			best, top = v, share
 		}
 	}
@@ -146,6 +146,15 @@
 	})
 }
 
+// closer prefers, of two readers that are alike, the one in the node's zone, then the session's.
+func (s *Scheduler) closer(r *request, v, other *server) bool {
+	here := v.Zone == s.set.Zone
+	if s.set.Nodes > manyNodes && here != (other.Zone == s.set.Zone) {
+		return here
+	}
+	return v.score(r.Session) > other.score(r.Session)
+}
+
 // share is how much of a prompt a reader holds, in tokens, a home at least the shared prefix.
 func (s *Scheduler) share(r *request, v *server, homes []*server) float64 {
 	tokens, _ := s.match(r, v)
@@ -183,6 +192,7 @@
 // homes are the two readers to which a prefix's and then the session's key hash, the prefix's
 // among more readers the more traffic begins with it. Many nodes see too little of that, and where
 // no load is told nothing else shows that a home is overrun: it has a good part of them at once.
+// They have one home in their own zone and one elsewhere, so that a zone cut off serves itself.
 func (s *Scheduler) homes(r *request, pool []*server) []*server {
 	uses, n := 0.0, float64(len(pool))
 	for _, v := range pool {
@@ -195,12 +205,12 @@
 	for float64(want) < need {
 		want *= 2 // so that nodes mostly agree and a session finds its earlier turns
 	}
-	homes := slices.Clone(pool)
-	for _, key := range []uint64{cmp.Or(r.Prefix, r.Session), r.Session} {
-		slices.SortFunc(homes, func(a, b *server) int { return cmp.Compare(b.score(key), a.score(key)) })
-		homes, want = homes[:min(want, len(homes))], 2
+	near, far := s.byZone(pool)
+	if s.set.Nodes <= manyNodes || len(near) == 0 || len(far) == 0 {
+		return r.homesIn(pool, want, 2)
 	}
-	return homes
+	part := max(want/2, 1)
+	return append(r.homesIn(near, part, 1), r.homesIn(far, part, 1)...)
 }
 
 // pickWriter is the design's writer rule: the holder, else the roomiest.
@@ -274,10 +284,3 @@
 		return min(room, room/max(v.ratio, 1))
 	}
 }
-
-// toll is how much longer an answer takes to begin where its state has to leave
-// the reader's cell, less with the age of what is known of it.
-func (s *Scheduler) toll() float64 {
-	far := &s.pace[writingFar]
-	return max(far.Y-s.pace[writing].Y, 0) * math.Exp(-float64(s.now-far.Last)/float64(4*s.minAim))
-}
--- a/health.go
+++ b/health.go
@@ -122,11 +122,8 @@
 // at the least, of which the settings allow a part in slow start. Every node hands out what its
 // own requests show, so that the sum over all nodes is that part.
 func (s *Scheduler) creditSlowStart(done *server) {
-	if s.cold(done) {
-		return
-	}
 	for _, v := range s.order {
-		if v.role == done.role && s.cold(v) {
+		if v.role == done.role && s.cold(v) && !s.cold(done) {
 			v.credit.Earn(s.set.Rules.FallMultiple * s.set.Rules.ColdFrom / max(s.warm(done.role), 1))
 		}
 	}
--- a/health_test.go
+++ b/health_test.go
@@ -142,10 +142,14 @@
 				list = append(list, far)
 			}
 			n := newNode(t, set, list...)
+			for _, v := range n.s.order { // its own zone's is busy, so that it goes to another first
+				v.report, v.reportAt = Report{ReportInFlight: 0}, n.now
+			}
+			n.s.servers["own"].report = Report{ReportInFlight: 10}
 			n.ask("q", key+1, key+1)
 			a, _ := pick[Attempt](n)
 			if a.Server == "own" {
-				continue
+				t.Errorf("%d nodes: sent to the busy reader", tt.nodes)
 			}
 			n.do(Outcome{ID: "q", Server: a.Server, Status: NoConnection, Latency: tt.latency})
 			if a, _ := pick[Attempt](n); a.Server == "own" {
--- a/homes_test.go
+++ b/homes_test.go
@@ -170,3 +170,45 @@
 		})
 	}
 }
+
+// Many gateways give a prefix one home in their own zone and one elsewhere, the first alike at all
+// of a zone; the own one is taken where both are alike, the other where the own one is busy.
+func TestHomes_OneInTheOwnZone(t *testing.T) {
+	fleet := fleetOf(20, 4)
+	for i := range fleet {
+		if i%2 == 1 {
+			fleet[i].Zone = "b"
+		}
+	}
+	first := map[string]map[uint64]ServerID{"a": {}, "b": {}}
+	for seed := range 5 {
+		for _, zone := range []string{"a", "b"} {
+			set := nodesOf(300)
+			set.Zone, set.Reports = zone, ReportInline
+			n := newNode(t, set, fleet...)
+			n.s.rng.Seed(int64(seed))
+			for key := range uint64(50) {
+				r := &request{Request: Request{ID: "q", Session: key%3 + 1, Prefix: key/3 + 1, PrefixTokens: 160, PromptTokens: 320}, class: n.s.classes["chat"]}
+				readers := n.s.pool(r, reads)
+				homes := n.s.homes(r, readers)
+				if len(homes) != 2 || homes[0].Zone != zone || homes[1].Zone == zone {
+					t.Fatalf("homes %v in zone %s", homes, zone)
+				}
+				if was, ok := first[zone][key]; ok && was != homes[0].ID {
+					t.Errorf("key %d: a home of zone %s is %s and %s", key, zone, was, homes[0].ID)
+				}
+				first[zone][key] = homes[0].ID
+				for _, v := range readers {
+					v.report, v.reportAt = Report{ReportInFlight: 3}, n.s.now
+				}
+				if got := n.s.byPrefix(r, readers); got != homes[0] {
+					t.Errorf("key %d: sent to %s, want the home %s of the own zone", key, got.ID, homes[0].ID)
+				}
+				homes[0].report = Report{ReportInFlight: 5}
+				if got := n.s.byPrefix(r, readers); got != homes[1] {
+					t.Errorf("key %d: sent to %s, want the other home %s", key, got.ID, homes[1].ID)
+				}
+			}
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -1,12 +1,13 @@
 package ashwood
 
 import (
-	"hash/fnv"
+	"cmp"
 	"math"
 	"math/rand"
 	"time"
 
 	"ashwood.example/ashwood/internal/prefix"
+	"ashwood.example/ashwood/internal/rendezvous"
 	"ashwood.example/ashwood/internal/slowstart"
 	"ashwood.example/ashwood/internal/trend"
 )
@@ -160,15 +161,8 @@
 	}
 }
 
-// hashOf spreads an id over 64 bits.
-func hashOf(id ServerID) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(id))
-	return h.Sum64()
-}
-
 func newServer(id ServerID) *server {
-	return &server{ratio: 1, runs: prefix.Held{}, refuses: map[[2]string]time.Duration{}, hash: hashOf(id)}
+	return &server{ratio: 1, runs: prefix.Held{}, refuses: map[[2]string]time.Duration{}, hash: rendezvous.Hash(string(id))}
 }
 
 // running is the unfinished work that a server last reported, in requests of the mean prompt, 0
@@ -180,11 +174,33 @@
 	return max(v.report[ReportInFlight], v.report[ReportQueue])
 }
 
-// score is the rank of a server for a key, alike at all nodes (rendezvous hashing).
-func (v *server) score(key uint64) uint64 {
-	n := (v.hash ^ key*0xff51afd7ed558ccd) * 0x9e3779b97f4a7c15
-	n = (n ^ n>>32) * 0xc4ceb9fe1a85ec53
-	return n ^ n>>29
+// score is the rank of a server for a key, alike at all nodes.
+func (v *server) score(key uint64) uint64 { return rendezvous.Weight(v.hash, key) }
+
+// homesIn gives n readers of a pool by the session's key, of so many by the prefix's.
+func (r *request) homesIn(pool []*server, many, n int) []*server {
+	prefix := cmp.Or(r.Prefix, r.Session)
+	homes := rendezvous.Top(pool, many, func(v *server) uint64 { return v.score(prefix) })
+	return rendezvous.Top(homes, n, func(v *server) uint64 { return v.score(r.Session) })
+}
+
+// byZone parts servers into those of this node's zone and others.
+func (s *Scheduler) byZone(pool []*server) (near, far []*server) {
+	for _, v := range pool {
+		if v.Zone == s.set.Zone {
+			near = append(near, v)
+		} else {
+			far = append(far, v)
+		}
+	}
+	return near, far
+}
+
+// toll is how much longer an answer takes to begin where its state has to leave
+// the reader's cell, less with the age of what is known of it.
+func (s *Scheduler) toll() float64 {
+	far := &s.pace[writingFar]
+	return max(far.Y-s.pace[writing].Y, 0) * math.Exp(-float64(s.now-far.Last)/float64(4*s.minAim))
 }
 
 // mean averages a figure over the listed servers of a role that have it.
