--- a/internal/grpcfront/boxes.go
+++ b/internal/grpcfront/boxes.go
@@ -204,8 +204,11 @@
 func (trailerWatch) HandleConn(context.Context, stats.ConnStats) {}
 
 // open writes a call whole. An error proves that it did not reach the box:
-// grpc hands the message over whole or not at all.
-func (b *Boxes) open(ctx context.Context, box ashwood.Server, method string, msg any, ready func() bool) (*call, error) {
+// grpc hands the message over whole or not at all. What headers gives goes with it, worked out
+// once the connection is up.
+func (b *Boxes) open(
+	ctx context.Context, box ashwood.Server, method string, msg any, ready func() bool, headers ...func() (name, value string),
+) (*call, error) {
 	cc, err := b.conn(ctx, box.Address)
 	if err != nil {
 		return nil, err
@@ -213,6 +216,10 @@
 	if !ready() {
 		return nil, errNotReady
 	}
+	for _, header := range headers {
+		name, value := header()
+		ctx = metadata.AppendToOutgoingContext(ctx, name, value)
+	}
 	c := &call{trailed: &atomic.Bool{}}
 	ctx = context.WithValue(ctx, trailerKey{}, c.trailed)
 	if c.ClientStream, err = cc.NewStream(ctx, &grpc.StreamDesc{ServerStreams: true}, method); err != nil {
@@ -238,8 +245,12 @@
 	if a.Reads {
 		method = ashwoodpb.Box_Read_FullMethodName
 	}
-	ctx = metadata.AppendToOutgoingContext(ctx, metaRemaining, strconv.FormatFloat(a.Remaining, 'f', 0, 64))
-	c, err := b.open(ctx, a.Engine, method, &frame{a.Body}, a.Ready)
+	begun := b.clock.Now()
+	remaining := func() (name, value string) {
+		left := max(a.Remaining-(b.clock.Now()-begun), 0)
+		return metaRemaining, strconv.FormatFloat(left, 'f', 0, 64)
+	}
+	c, err := b.open(ctx, a.Engine, method, &frame{a.Body}, a.Ready, remaining)
 	if err != nil {
 		st := ashwood.NoConnection
 		if ctx.Err() != nil || errors.Is(err, errNotReady) {
