Bound the memory that a load report tells to all of it

Cause: a report of x0=61 was believed, and made the room of that engine sixty times its memory below zero, for which all requests were refused until it aged (read in internal/wire and rooms). A share is 1 at most now. Test: a case of TestLoadReports, seen red without the bound.

--- a/internal/wire/report.go
+++ b/internal/wire/report.go
@@ -33,7 +33,7 @@
 			if r == nil {
 				r = ashwood.Report{}
 			}
-			r[known] = v
+			r[known] = bounded(known, v)
 		}
 	}
 	return r
@@ -42,6 +42,14 @@
 // maxLoad is beyond any figure of a load report.
 const maxLoad = 1e9
 
+// bounded keeps a share within 1: of an engine that tells more, no more than all is held.
+func bounded(name string, value float64) float64 {
+	if name == ashwood.ReportMemory {
+		return min(value, 1)
+	}
+	return value
+}
+
 func report(load map[string]*float64) ashwood.Report {
 	var r ashwood.Report
 	for wire, name := range reportNames {
@@ -49,7 +57,7 @@
 			if r == nil {
 				r = ashwood.Report{}
 			}
-			r[name] = *v
+			r[name] = bounded(name, *v)
 		}
 	}
 	return r
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -170,7 +170,7 @@
 	for text, want := range map[string]ashwood.Report{
 		"inflight=7,x0=0.61,odd=3": two, "busy_reqs=7,pending=2,x0=0.61,x1=4": {
 			ashwood.ReportInFlight: 7, ashwood.ReportQueue: 2, ashwood.ReportMemory: 0.61, ashwood.ReportWaiting: 4,
-		}, " inflight=7, x0=0.61": two, "": nil, "inflight": nil,
+		}, "inflight=7,x0=61": {ashwood.ReportInFlight: 7, ashwood.ReportMemory: 1}, " inflight=7, x0=0.61": two, "": nil, "inflight": nil,
 		"inflight=7,x0=": nil, "inflight=7,x0=-0.61": nil, "inflight=7,x0=NaN": nil, "inflight=7,x0=1e300": nil,
 	} {
 		if diff := cmp.Diff(want, ParseReport(text)); diff != "" {
