Play the storm of events with many gateways and with absurd settings too

It played one gateway with usual settings. Now also 300 gateways that probe, no reports and no cancelling, slow start without figures, memory of one token and memory that is not told: every rule is kept, and nothing is divided by zero. One gateway's 20 seeds stay.

--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -80,7 +80,7 @@
 }
 
 func TestSameEventsSameActions(t *testing.T) {
-	a, b := storm(t, 5), storm(t, 5)
+	a, b := storm(t, 5, settings()), storm(t, 5, settings())
 	if !reflect.DeepEqual(a, b) {
 		t.Error("the same events led to other actions")
 	}
--- a/storm_test.go
+++ b/storm_test.go
@@ -39,8 +39,8 @@
 
 func isReading(v ServerID) bool { return v[0] == 'r' }
 
-func storm(t *testing.T, seed int64) []Action {
-	w := &world{t: t, rng: rand.New(rand.NewSource(seed)), n: newNode(t, settings(), stormServers...),
+func storm(t *testing.T, seed int64, set Settings) []Action {
+	w := &world{t: t, rng: rand.New(rand.NewSource(seed)), n: newNode(t, set, stormServers...),
 		reqs: map[RequestID]*told{}, state: map[ServerID]ServerState{}}
 	for _, v := range stormServers {
 		w.state[v.ID] = StateOn
@@ -65,16 +65,51 @@
 	return w.all
 }
 
-// TestStorm throws legal and stray events at the module and checks the rules.
+// TestStorm throws legal and stray events at the module and checks the rules, for one gateway
+// and for many, and with settings that are absurd but can be served.
 // One goroutine does it all, so that the race detector, which makes it ten
 // times slower, sees enough in a short run.
 func TestStorm(t *testing.T) {
-	seeds := int64(20)
-	if testing.Short() {
-		seeds = 2
-	}
-	for seed := int64(1); seed <= seeds; seed++ {
-		storm(t, seed)
+	const plain = "one gateway"
+	for name, change := range map[string]func(*Settings){
+		plain: func(*Settings) {},
+		"many gateways that probe": func(s *Settings) {
+			s.Nodes, s.Limits.Probes = 300, true
+		},
+		"no report, no retry, no cancel": func(s *Settings) {
+			s.Nodes, s.Reports, s.Limits = 20, ReportNone, Limits{MaxAttempts: 4}
+		},
+		"nothing of slow start": func(s *Settings) {
+			s.Nodes, s.Rules = 300, Rules{Release: time.Second}
+		},
+		"slow start without a share": func(s *Settings) {
+			s.Nodes, s.Rules.ColdFrom = 300, 0
+		},
+		"memory of one token": func(s *Settings) {
+			for i := range s.Kinds {
+				s.Kinds[i].MemoryTokens = 1
+			}
+		},
+		"memory that is not told": func(s *Settings) {
+			for i := range s.Kinds {
+				s.Kinds[i].MemoryTokens = 0
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			seeds := int64(4)
+			if name == plain {
+				seeds = 20
+			}
+			if testing.Short() {
+				seeds = 2
+			}
+			set := settings()
+			change(&set)
+			for seed := range seeds {
+				storm(t, seed+1, set)
+			}
+		})
 	}
 }
 
