Rename the decision module's house words to standard terms

cold, coldRoom, luck and leastCold are slow start's; shun is a pause of sends, hopeless a refusal before the first send, letGo a release of what is held, toll a transfer delay, haste impatience, swamped overloaded.

--- a/admission_test.go
+++ b/admission_test.go
@@ -44,7 +44,7 @@
 		n.now += 100 * ms
 		n.do(Gone{RequestID(id)})
 	}
-	if p := time.Second - time.Duration(n.s.haste[""]); p > 300*ms {
+	if p := time.Second - time.Duration(n.s.impatience[""]); p > 300*ms {
 		t.Errorf("patience still %v after ten clients left at 100ms", p)
 	}
 	for i := 0; i < 20; i++ {
@@ -52,7 +52,7 @@
 			class: n.s.classes["chat"]}
 		n.do(First{ID: "x", Server: "w1", Latency: 10 * ms})
 	}
-	if p := time.Second - time.Duration(n.s.haste[""]); p < 900*ms {
+	if p := time.Second - time.Duration(n.s.impatience[""]); p < 900*ms {
 		t.Errorf("patience only %v after twenty answers", p)
 	}
 }
--- a/choose.go
+++ b/choose.go
@@ -17,7 +17,7 @@
 	for _, v := range s.order {
 		switch z := v.path; {
 		case !match(v.role) || !s.usable(r, v):
-		case s.trusted(v) && s.set.Nodes > manyNodes && s.cold(v) && v.role != RoleRead:
+		case s.trusted(v) && s.set.Nodes > manyNodes && s.inSlowStart(v) && v.role != RoleRead:
 			due = append(due, v)
 		case s.trusted(v) && s.now >= v.refuses[r.kind()] && !(r.near && v.Zone != s.set.Zone):
 			good = append(good, v)
@@ -76,7 +76,7 @@
 	}
 	unpaired := func(v *server) bool { return cells[v.Cell] < best*nearRoom }
 	near := slices.DeleteFunc(slices.Clone(pool), unpaired)
-	if len(near) == 0 || s.toll() < tollLimit*float64(s.minAim) {
+	if len(near) == 0 || s.transferDelay() < transferLimit*float64(s.minAim) {
 		return pool
 	}
 	return near
@@ -168,9 +168,9 @@
 // be sooner done: what a choice keeps of a prompt is worth the tokens that need not be read, no more.
 // Others that are idle are not taken so: one that fails at once is idle too.
 func (s *Scheduler) orSlowStart(choice *server, pool []*server, work func(*server) float64) *server {
-	least := work(choice) * max(s.set.Rules.ColdFrom, leastCold)
+	least := work(choice) * max(s.set.Rules.ColdFrom, leastStartSpeed)
 	for _, v := range pool {
-		if s.cold(v) && s.now-v.reportAt < probeEvery && work(v) < least {
+		if s.inSlowStart(v) && s.now-v.reportAt < probeEvery && work(v) < least {
 			choice, least = v, work(v)
 		}
 	}
@@ -182,7 +182,7 @@
 func (s *Scheduler) candidates(r *request, pool []*server) []*server {
 	candidates := s.homes(r, pool)
 	for _, i := range s.rng.Perm(len(pool)) {
-		if s.cold(pool[i]) {
+		if s.inSlowStart(pool[i]) {
 			return append(candidates, pool[i])
 		}
 	}
@@ -216,7 +216,7 @@
 // pickWriter is the design's writer rule: the holder, else the roomiest.
 func (s *Scheduler) pickWriter(r *request, reader *server) *server {
 	h := r.ahead
-	if r.state != nil && h != nil && h.listed && !r.tried[h] && r.mayRunOn(h, s.now) && s.coldRoom(h, r) {
+	if r.state != nil && h != nil && h.listed && !r.tried[h] && r.mayRunOn(h, s.now) && s.slowStartAllows(h, r) {
 		return h
 	}
 	return s.roomiest(s.pool(r, writes), reader)
--- a/health.go
+++ b/health.go
@@ -67,9 +67,9 @@
 
 func (h *health) due(now time.Duration) bool { return h.ejected && now >= h.until && h.trial == "" }
 
-// swamped tells of a reader that by its own word holds far more than its peers: it
+// overloaded tells of a reader that by its own word holds far more than its peers: it
 // hangs, or has been found by too many at once.
-func (s *Scheduler) swamped(v *server) bool {
+func (s *Scheduler) overloaded(v *server) bool {
 	told, n := s.mean(v.role, func(o *server) (float64, bool) {
 		return o.report[ReportInFlight], o != v && len(o.report) > 0
 	})
@@ -78,7 +78,7 @@
 
 // usable tells whether a request may go to a server at this moment.
 func (s *Scheduler) usable(r *request, v *server) bool {
-	return v.listed && !r.tried[v] && r.mayRunOn(v, s.now) && s.now >= v.shunUntil && s.coldRoom(v, r)
+	return v.listed && !r.tried[v] && r.mayRunOn(v, s.now) && s.now >= v.pausedUntil && s.slowStartAllows(v, r)
 }
 
 func (s *Scheduler) trusted(v *server) bool { return !v.ejected && !v.path.ejected }
@@ -86,19 +86,19 @@
 // avoided tells of a server in the list that the ordinary path leaves out at this moment: it
 // drains, is ejected or its zone is, or it turned something away of late.
 func (s *Scheduler) avoided(v *server) bool {
-	return v.State != StateOff && (!v.listed || !s.trusted(v) || s.now < v.shunUntil)
+	return v.State != StateOff && (!v.listed || !s.trusted(v) || s.now < v.pausedUntil)
 }
 
-// cold tells whether a server may still be warming up.
-func (s *Scheduler) cold(v *server) bool {
+// inSlowStart tells whether a server may still be warming up.
+func (s *Scheduler) inSlowStart(v *server) bool {
 	return v.Started > 0 && s.now-v.Started < s.set.Rules.ColdTime
 }
 
-// coldRoom keeps rule 4: this node's part of what a cold server can take, from
+// slowStartAllows keeps rule 4: this node's part of what a cold server can take, from
 // what warm ones finish. Under one request a window it is one in so many
 // windows, the first at a time drawn by seed, so that the sum keeps to it.
-func (s *Scheduler) coldRoom(v *server, r *request) bool {
-	if !s.cold(v) || s.set.Rules.FallMultiple == 0 {
+func (s *Scheduler) slowStartAllows(v *server, r *request) bool {
+	if !s.inSlowStart(v) || s.set.Rules.FallMultiple == 0 {
 		return true
 	}
 	if s.set.Nodes > manyNodes {
@@ -106,15 +106,15 @@
 	}
 	rules, cost := s.set.Rules, max(s.cost[r.class], 1)
 	each, _ := s.mean(v.role, func(o *server) (float64, bool) {
-		return o.done.Add(s.now, rules.FallWindow, 0), !s.cold(o)
+		return o.done.Add(s.now, rules.FallWindow, 0), !s.inSlowStart(o)
 	})
 	budget, nodes := each*rules.FallWindow.Seconds()*rules.FallMultiple*rules.ColdFrom, float64(s.set.Nodes)
 	k := max(budget*nodes/cost, 1) // of all nodes; their draws may by chance fall together, by three deviations
-	part := min(coldMargin, 1-s.crowd+math.Pow(math.Sqrt(9+4*k)-3, 2)/4/k)
+	part := min(slowStartMargin, 1-s.crowd+math.Pow(math.Sqrt(9+4*k)-3, 2)/4/k)
 	budget = max(budget*part, cost*max(1/nodes, math.Pow(1-s.crowd, 2))) / s.copies // many nodes share one
 	span := time.Duration(float64(rules.FallWindow) * max(1, cost/budget))
 	sent := cost + v.sends.Within(s.now, span)
-	return sent <= max(budget, cost) && s.now-v.since >= time.Duration(v.luck*float64(span-rules.FallWindow))
+	return sent <= max(budget, cost) && s.now-v.since >= time.Duration(v.phase*float64(span-rules.FallWindow))
 }
 
 // creditSlowStart hands out sends to servers in slow start, where many nodes share their budget,
@@ -123,7 +123,7 @@
 // own requests show, so that the sum over all nodes is that part.
 func (s *Scheduler) creditSlowStart(done *server) {
 	for _, v := range s.order {
-		if v.role == done.role && s.cold(v) && !s.cold(done) {
+		if v.role == done.role && s.inSlowStart(v) && !s.inSlowStart(done) {
 			v.credit.Earn(s.set.Rules.FallMultiple * s.set.Rules.ColdFrom / max(s.warm(done.role), 1))
 		}
 	}
@@ -131,7 +131,7 @@
 
 // warm counts the servers of a role that bear the usual load.
 func (s *Scheduler) warm(role Role) float64 {
-	_, n := s.mean(role, func(v *server) (float64, bool) { return 0, !s.cold(v) && s.trusted(v) })
+	_, n := s.mean(role, func(v *server) (float64, bool) { return 0, !s.inSlowStart(v) && s.trusted(v) })
 	return n
 }
 
@@ -146,7 +146,7 @@
 	n := rules.FallMultiple * rules.ColdFrom * requests * rules.FallWindow.Seconds() / max(readers, 1)
 	for _, v := range s.order {
 		windows := float64(v.credit.Elapsed(s.now)) / float64(rules.FallWindow)
-		if s.cold(v) && (v.role == RoleRead || s.warm(v.role) == 0) {
+		if s.inSlowStart(v) && (v.role == RoleRead || s.warm(v.role) == 0) {
 			v.credit.Earn(windows * chanceShare * (math.Sqrt(n) + 1) / float64(s.set.Nodes) / s.copies)
 		}
 	}
--- a/health_test.go
+++ b/health_test.go
@@ -12,10 +12,10 @@
 	n := newNode(t, settings(), reader("r1"), writer("w1", 0))
 	last := time.Duration(0)
 	for i := 0; i < 4; i++ {
-		n.now = max(n.now, n.s.servers["r1"].shunUntil)
+		n.now = max(n.now, n.s.servers["r1"].pausedUntil)
 		n.s.now = n.now
-		n.s.shun(n.s.servers["r1"])
-		pause := n.s.servers["r1"].shunUntil - n.now
+		n.s.pauseSends(n.s.servers["r1"])
+		pause := n.s.servers["r1"].pausedUntil - n.now
 		if pause <= last {
 			t.Fatalf("pause %v after %v", pause, last)
 		}
@@ -42,7 +42,7 @@
 	}
 	for i := range 7 {
 		n.end(fmt.Sprint(i), 0, "r1", TurnedAway)
-		pauses[n.s.servers["r1"].shunUntil-n.now] = true
+		pauses[n.s.servers["r1"].pausedUntil-n.now] = true
 	}
 	if len(pauses) != 1 || pauses[0] {
 		t.Errorf("pauses %v, want the first alone", pauses)
--- a/membership.go
+++ b/membership.go
@@ -31,8 +31,8 @@
 // restart empties what was known of a server that has started anew: its record, its load and the
 // blocks that it kept. Where this node stands among those that share its slow start is drawn.
 func (s *Scheduler) restart(v *server) {
-	v.health, v.ratio, v.shunUntil, v.report, v.done = health{}, 1, 0, nil, trend.Rate{}
-	v.sends, v.since, v.luck = nil, s.now, s.rng.Float64()
-	v.credit = slowstart.NewCredit(s.now, v.luck)
+	v.health, v.ratio, v.pausedUntil, v.report, v.done = health{}, 1, 0, nil, trend.Rate{}
+	v.sends, v.since, v.phase = nil, s.now, s.rng.Float64()
+	v.credit = slowstart.NewCredit(s.now, v.phase)
 	s.table.Void(v.runs, s.now+1)
 }
--- a/outcomes.go
+++ b/outcomes.go
@@ -27,7 +27,7 @@
 		return
 	}
 	s.worked(r, a, e.Latency)
-	s.haste[r.Tenant] -= ewma * s.haste[r.Tenant]
+	s.impatience[r.Tenant] -= ewma * s.impatience[r.Tenant]
 	a.begun, r.done, r.state, r.ahead = true, true, nil, nil
 	a.srv.queue -= a.tokens
 }
@@ -95,12 +95,12 @@
 		s.parsed(r, a, e.Note)
 	case TurnedAway:
 		if a.write && e.Note == 1 {
-			s.letGo(r) // no state to fetch: read again
+			s.releaseHeld(r) // no state to fetch: read again
 			clear(r.tried)
 		} else if e.Latency > r.class.Aim/slowRefusal {
 			a.srv.refuses[r.kind()] = s.now + backoffMax
 		} else {
-			s.shun(a.srv)
+			s.pauseSends(a.srv)
 		}
 	case NoConnection:
 		if r.held && a.srv == r.ahead { // the state may have moved there: once more
@@ -109,7 +109,7 @@
 		if s.set.Nodes > manyNodes && e.Latency >= retryPause && a.srv.Zone != s.set.Zone {
 			r.near = true // a whole zone may be silent: the next try is not to wait for it too
 		}
-		s.shun(a.srv)
+		s.pauseSends(a.srv)
 		s.judge(a.srv, r, false)
 	case ServerError, ConnectionLost:
 		s.judge(a.srv, r, false)
@@ -137,14 +137,14 @@
 	}
 }
 
-// shun leaves a full or dead server alone for a while that doubles until it takes
+// pauseSends leaves a full or dead server alone for a while that doubles until it takes
 // a request: it answers at once, and attempts would be burnt on it.
-func (s *Scheduler) shun(v *server) {
-	if s.now < v.shunUntil { // sent before the pause: a burst of refusals tells no more than one
+func (s *Scheduler) pauseSends(v *server) {
+	if s.now < v.pausedUntil { // sent before the pause: a burst of refusals tells no more than one
 		return
 	}
-	v.shun = min(max(v.shun*2, retryPause*time.Duration(max(s.set.Nodes/2, 1))), backoffMax/4)
-	v.shunUntil = s.now + v.shun
+	v.pause = min(max(v.pause*2, retryPause*time.Duration(max(s.set.Nodes/2, 1))), backoffMax/4)
+	v.pausedUntil = s.now + v.pause
 }
 
 func (s *Scheduler) timer(e Timer) {
@@ -214,8 +214,8 @@
 // worked feeds the pace of a stage and the server's standing against it.
 func (s *Scheduler) worked(r *request, a *attempt, latency time.Duration) {
 	v, p := a.srv, &s.pace[a.stage]
-	v.shun, v.alive, v.began[a.stage] = 0, s.now, max(v.began[a.stage], a.sent)
-	if !s.cold(v) { // taken, not sent: a storm of rejects must not swell the cold budget
+	v.pause, v.alive, v.began[a.stage] = 0, s.now, max(v.began[a.stage], a.sent)
+	if !s.inSlowStart(v) { // taken, not sent: a storm of rejects must not swell the cold budget
 		v.done.Add(s.now, s.set.Rules.FallWindow, s.cost[r.class])
 		s.creditSlowStart(v)
 	}
@@ -228,15 +228,15 @@
 
 func (s *Scheduler) gone(e Gone) {
 	if r := s.reqs[e.ID]; r != nil && !r.done {
-		s.haste[r.Tenant] += ewma * (max(float64(s.minAim-s.now+r.arrived), 0) - s.haste[r.Tenant])
+		s.impatience[r.Tenant] += ewma * (max(float64(s.minAim-s.now+r.arrived), 0) - s.impatience[r.Tenant])
 		s.end(r)
 	}
 }
 
 func (s *Scheduler) probed(e Probed) {
 	if v := s.servers[e.Server]; v != nil && e.Status == Served {
-		if s.heard(v, e.Report); s.swamped(v) { // but else it proves nothing about a hang
-			s.shun(v)
+		if s.heard(v, e.Report); s.overloaded(v) { // but else it proves nothing about a hang
+			s.pauseSends(v)
 		}
 	}
 }
--- a/rules_test.go
+++ b/rules_test.go
@@ -161,7 +161,7 @@
 		if a, ok := pick[Attempt](n); ok {
 			sends++
 			n.end(fmt.Sprint(i), 0, string(a.Server), TurnedAway)
-			n.s.servers["r1"].shunUntil = 0
+			n.s.servers["r1"].pausedUntil = 0
 		}
 		n.now += 10 * ms
 	}
@@ -191,7 +191,7 @@
 		for _, o := range n.s.order {
 			o.done.Add(n.now, time.Second, 200)
 		}
-		for ; sends < 1000 && n.s.coldRoom(v, r); sends++ {
+		for ; sends < 1000 && n.s.slowStartAllows(v, r); sends++ {
 			v.sends.Add(n.now, 1)
 		}
 		return sends
--- a/scheduler.go
+++ b/scheduler.go
@@ -24,27 +24,28 @@
 
 // Values of the guards that the design leaves open; all else follows from the settings or is learned.
 const (
-	ewma         = 0.2                   // weight of a new sample
-	failLimit    = 0.35                  // failing share, above half of peers', at which a server is ejected
-	slowLimit    = 3                     // times peers' latency at which a server is ejected
-	ejectShare   = 0.5                   // of a role's servers at most that are ejected
-	backoffFirst = time.Second           // from ejection to trial; doubles with each failed trial
-	backoffMax   = 8 * time.Second       //
-	retryPause   = 40 * time.Millisecond // between looks for a server while a request waits
-	coldMargin   = 0.6                   // of the cold budget that is used
-	chanceShare  = 1.5                   // half of the 3 root n + 3 sends that the rule grants to chance
-	manyNodes    = 8                     // of which each sends a server too little to count
-	nearRoom     = 0.5                   // of the best room anywhere that a nearer writer needs
-	slowRefusal  = 20                    // of the aim, from which a refusal is of this kind alone
-	tollLimit    = 0.5
-	spread       = 3                       // readers for a prefix, in parts of what its share of traffic needs
-	blindShare   = 0.2                     // of readers, a prefix's homes at least where no load is told
-	leastCold    = 0.1                     // of its speed that a server in slow start has at the least
-	probesAtOnce = 3                       // for one choice
-	probeWait    = 12 * time.Millisecond   // for an answer before a choice, over a new connection to any zone
-	pollRounds   = 2                       // before a choice: the others where the first do not answer
-	probeEvery   = 500 * time.Millisecond  // where load is told on probes alone
-	stopSure     = 3500 * time.Millisecond // of silence, in which work comes to wait where a server hangs
+	ewma            = 0.2                   // weight of a new sample
+	failLimit       = 0.35                  // failing share, above half of peers', at which a server is ejected
+	slowLimit       = 3                     // times peers' latency at which a server is ejected
+	ejectShare      = 0.5                   // of a role's servers at most that are ejected
+	backoffFirst    = time.Second           // from ejection to trial; doubles with each failed trial
+	backoffMax      = 8 * time.Second       //
+	retryPause      = 40 * time.Millisecond // between looks for a server while a request waits
+	slowStartMargin = 0.6                   // of the slow-start budget that is used
+	chanceShare     = 1.5                   // half of the 3 root n + 3 sends that the rule grants to chance
+	manyNodes       = 8                     // of which each sends a server too little to count
+	nearRoom        = 0.5                   // of the best room anywhere that a nearer writer needs
+	slowRefusal     = 20                    // of the aim, from which a refusal is of this kind alone
+	transferLimit   = 0.5                   // of the shortest aim, from which on states stay in their cell
+
+	spread          = 3                       // homes of a prefix, in parts of what its share of traffic needs
+	blindShare      = 0.2                     // of readers, a prefix's homes at least where no load is told
+	leastStartSpeed = 0.1                     // of its speed that a server in slow start has at the least
+	probesAtOnce    = 3                       // for one choice
+	probeWait       = 12 * time.Millisecond   // for an answer before a choice, over a new connection to any zone
+	pollRounds      = 2                       // before a choice: the others where the first do not answer
+	probeEvery      = 500 * time.Millisecond  // where load is told on probes alone
+	stopSure        = 3500 * time.Millisecond // of silence, in which work comes to wait where a server hangs
 )
 
 // New makes a scheduler. Figures left at zero mean: no cap on attempts, one
@@ -140,7 +141,7 @@
 	v, write := s.pickReader(r)
 	why := Why("")
 	if v != nil && len(r.attempts) == 0 {
-		why = s.hopeless(r, v)
+		why = s.refusalBeforeSend(r, v)
 	}
 	switch {
 	case why != "":
@@ -149,7 +150,7 @@
 		s.giveUp(r, WhyNoReader)
 	case v == nil:
 		if r.ahead != nil {
-			s.letGo(r)
+			s.releaseHeld(r)
 		}
 		clear(r.tried)
 		s.after(retryPause, timer{r.ID, lookAgain})
@@ -161,11 +162,11 @@
 	}
 }
 
-// hopeless tells of a request that would come too late even at the servers
+// refusalBeforeSend tells of a request that would come too late even at the servers
 // chosen, or for which the writers' reported memory is spoken for (a full writer
 // reads answers anew). All classes answer to the shortest aim, longer for long prompts as
 // the settings say, or the patient would keep queues too long. It may hurt after a slow spell.
-func (s *Scheduler) hopeless(r *request, v *server) Why {
+func (s *Scheduler) refusalBeforeSend(r *request, v *server) Why {
 	least, room, queued, told := math.Inf(1), 0.0, 0.0, false
 	matched, _ := s.match(r, v)
 	wait := s.delay(v, reading, r.PromptTokens-matched)
@@ -183,7 +184,7 @@
 	each := s.coming.Add(s.now, time.Second, 0) * s.pace[reading].Y / float64(time.Second)
 	room -= trend.Fleet(s.set.Nodes, queued, each, s.prompt)
 	aim := float64(s.minAim) + float64(r.class.AimPer1K)*r.PromptTokens/1000
-	limit := (aim - s.haste[r.Tenant]) * (1 + r.class.Worth/s.topWorth) / 2
+	limit := (aim - s.impatience[r.Tenant]) * (1 + r.class.Worth/s.topWorth) / 2
 	if q := s.quota[r.Tenant]; q > 0 { // the further over its share, the smaller its part of the aim
 		limit *= min(1, max(s.set.OverShareWorth, q/max(s.asked[r.Tenant].Add(s.now, time.Second, 0), q/2)))
 	}
@@ -210,7 +211,7 @@
 	return s.crowd * s.crowd * p.Expect(tokens) * math.Exp(-float64(s.now-p.Last)/float64(2*s.minAim))
 }
 
-func (s *Scheduler) letGo(r *request) {
+func (s *Scheduler) releaseHeld(r *request) {
 	s.act(Release{r.ID})
 	r.state, r.ahead, r.held = nil, nil, false
 }
@@ -248,7 +249,7 @@
 // out is called off, and its outcome releases again (rule 5 on every path).
 func (s *Scheduler) end(r *request) {
 	r.done = true
-	s.letGo(r)
+	s.releaseHeld(r)
 	for i, a := range r.attempts {
 		if a.out && !a.begun && s.set.Limits.Cancel {
 			s.act(Cancel{r.ID, i})
@@ -284,7 +285,7 @@
 			h.trial = r.ID
 		}
 	}
-	if s.cold(v) {
+	if s.inSlowStart(v) {
 		v.sends.Add(s.now, s.cost[r.class])
 		v.credit.Spend()
 	}
@@ -317,7 +318,7 @@
 }
 
 func (s *Scheduler) askAhead(r *request, reader *server) {
-	if w := s.pickWriter(r, reader); w != nil && !s.cold(w) && !w.ejected {
+	if w := s.pickWriter(r, reader); w != nil && !s.inSlowStart(w) && !w.ejected {
 		r.ahead, r.held = w, false
 		r.asked++
 		s.act(Ahead{r.ID, w.ID})
--- a/share_test.go
+++ b/share_test.go
@@ -29,7 +29,7 @@
 					t.Fatal("no such class")
 				}
 				r.s.cost[q.class] = 1000
-				if r.s.coldRoom(cold, q) {
+				if r.s.slowStartAllows(cold, q) {
 					cold.sends.Add(r.now, 1000)
 					n++
 				}
--- a/size_test.go
+++ b/size_test.go
@@ -44,7 +44,7 @@
 }
 
 // Many nodes know of most readers nothing new: one that is unheard is like the mean, not
-// idle, or all would prefer it to a home that they have heard from, and find it swamped.
+// idle, or all would prefer it to a home that they have heard from, and find it overloaded.
 func TestUnheardReaderIsNotTakenForIdle(t *testing.T) {
 	for _, nodes := range []int{50, 300} {
 		set := nodesOf(nodes)
@@ -72,7 +72,7 @@
 		}
 		n.s.servers[first.Server].report = Report{ReportInFlight: 30}
 		if n.ask("c", 1, 7); slices.Contains(n.out, Action(Attempt{ID: "c", Server: first.Server, Timeout: 5 * time.Second})) {
-			t.Errorf("%d nodes: a swamped home is taken", nodes)
+			t.Errorf("%d nodes: a overloaded home is taken", nodes)
 		}
 	}
 }
--- a/state.go
+++ b/state.go
@@ -26,30 +26,30 @@
 type server struct {
 	Server
 	health
-	path      *health // to its zone
-	role      Role
-	memory    float64
-	listed    bool    // on; anything else gets nothing new
-	reads     int     // own unfinished reads
-	queue     float64 // own tokens that wait to be read or fetched
-	held      float64 // own prompt tokens sent to it as a writer, until the answer's end
-	sentSince float64 // of those, sent since the report
-	report    Report
-	reportAt  time.Duration
-	polled    time.Duration // last asked for it
-	runs      prefix.Held
-	hash      uint64                // of its id
-	ratio     float64               // latency against what its role takes for like work
-	alive     time.Duration         // it last finished or began something
-	began     [stages]time.Duration // the latest send that it has begun to answer
-	shunUntil time.Duration
-	refuses   map[[2]string]time.Duration // kinds of request, until when
-	shun      time.Duration               // the last pause after it would not take a request
-	sends     slowstart.Sends             // while cold
-	since     time.Duration               // known to have started anew
-	credit    slowstart.Credit            // where many nodes share its budget in slow start
-	luck      float64                     // drawn then, for this node's turn while it is cold
-	done      trend.Rate                  // work finished while warm
+	path        *health // to its zone
+	role        Role
+	memory      float64
+	listed      bool    // on; anything else gets nothing new
+	reads       int     // own unfinished reads
+	queue       float64 // own tokens that wait to be read or fetched
+	held        float64 // own prompt tokens sent to it as a writer, until the answer's end
+	sentSince   float64 // of those, sent since the report
+	report      Report
+	reportAt    time.Duration
+	polled      time.Duration // last asked for it
+	runs        prefix.Held
+	hash        uint64                // of its id
+	ratio       float64               // latency against what its role takes for like work
+	alive       time.Duration         // it last finished or began something
+	began       [stages]time.Duration // the latest send that it has begun to answer
+	pausedUntil time.Duration
+	refuses     map[[2]string]time.Duration // kinds of request, until when
+	pause       time.Duration               // the last pause after it would not take a request
+	sends       slowstart.Sends             // in slow start
+	since       time.Duration               // known to have started anew
+	credit      slowstart.Credit            // where many nodes share its budget in slow start
+	phase       float64                     // drawn then, of this node among those that share its slow start
+	done        trend.Rate                  // work finished once warm
 }
 
 // stage is what an attempt does.
@@ -111,31 +111,31 @@
 
 // Scheduler makes the decisions of one node.
 type Scheduler struct {
-	set      Settings
-	rng      *rand.Rand
-	kinds    map[string]Kind
-	classes  map[string]*Class
-	quota    map[string]float64 // this node's part of a tenant's share
-	asked    map[string]*trend.Rate
-	topWorth float64
-	minAim   time.Duration
-	longest  float64            // tokens of a prompt that fits into the memory of some server of each stage
-	crowd    float64            // of nodes: 0 where own counts tell of the fleet (up to two), near 1 where they are chance
-	haste    map[string]float64 // of a tenant's clients: how far before the shortest aim they leave
-	servers  map[ServerID]*server
-	order    []*server          // by id, so that no loop depends on map order
-	zones    map[string]*health // paths to other zones
-	reqs     map[RequestID]*request
-	timers   map[uint64]timer
-	next     uint64
-	copies   float64 // processes that count as this one node
-	table    prefix.Table
-	pace     [stages]trend.Line
-	cost     map[*Class]float64
-	prompt   float64    // tokens of a prompt
-	coming   trend.Rate // tokens of the prompts that come in
-	now      time.Duration
-	out      []Action
+	set        Settings
+	rng        *rand.Rand
+	kinds      map[string]Kind
+	classes    map[string]*Class
+	quota      map[string]float64 // this node's part of a tenant's share
+	asked      map[string]*trend.Rate
+	topWorth   float64
+	minAim     time.Duration
+	longest    float64            // tokens of a prompt that fits into the memory of some server of each stage
+	crowd      float64            // of nodes: 0 where own counts tell of the fleet (up to two), near 1 where they are chance
+	impatience map[string]float64 // of a tenant's clients: how far before the shortest aim they leave
+	servers    map[ServerID]*server
+	order      []*server          // by id, so that no loop depends on map order
+	zones      map[string]*health // paths to other zones
+	reqs       map[RequestID]*request
+	timers     map[uint64]timer
+	next       uint64
+	copies     float64 // processes that count as this one node
+	table      prefix.Table
+	pace       [stages]trend.Line
+	cost       map[*Class]float64
+	prompt     float64    // tokens of a prompt
+	coming     trend.Rate // tokens of the prompts that come in
+	now        time.Duration
+	out        []Action
 }
 
 func (s *Scheduler) act(a Action) { s.out = append(s.out, a) }
@@ -196,9 +196,9 @@
 	return near, far
 }
 
-// toll is how much longer an answer takes to begin where its state has to leave
+// transferDelay is how much longer an answer takes to begin where its state has to leave
 // the reader's cell, less with the age of what is known of it.
-func (s *Scheduler) toll() float64 {
+func (s *Scheduler) transferDelay() float64 {
 	far := &s.pace[writingFar]
 	return max(far.Y-s.pace[writing].Y, 0) * math.Exp(-float64(s.now-far.Last)/float64(4*s.minAim))
 }
@@ -237,7 +237,7 @@
 		set: set, rng: rand.New(rand.NewSource(seed)), kinds: map[string]Kind{}, classes: map[string]*Class{},
 		quota: map[string]float64{}, servers: map[ServerID]*server{}, zones: map[string]*health{},
 		reqs: map[RequestID]*request{}, timers: map[uint64]timer{}, cost: map[*Class]float64{},
-		asked: map[string]*trend.Rate{}, haste: map[string]float64{},
+		asked: map[string]*trend.Rate{}, impatience: map[string]float64{},
 		copies: 1, table: prefix.Table{MaxBlocks: maxBlocks, Expiry: blockExpiry},
 		minAim: math.MaxInt64, topWorth: math.SmallestNonzeroFloat64,
 		crowd: max(1-2/float64(set.Nodes), 0),
