--- a/homes_test.go
+++ b/homes_test.go
@@ -119,6 +119,11 @@
 			t.Errorf("%v: load of %v requests, want %v", *report, got, want)
 		}
 	}
+	few := newNode(t, nodesOf(4), fleetOf(2, 2)...)
+	few.s.prompt = 1000
+	if got := few.s.running(&server{report: long}); got != 2 {
+		t.Errorf("of four gateways, which count requests themselves: %v, want 2", got)
+	}
 	n.s.prompt = 0
 	if got := n.s.running(&server{report: long}); got != 2 {
 		t.Errorf("before any prompt is known: %v, want 2", got)
--- a/state.go
+++ b/state.go
@@ -166,9 +166,10 @@
 }
 
 // running is the unfinished work that a server last reported, in requests of the mean prompt, 0
-// without a report. Prompts differ by orders of magnitude: where tokens are told, they count.
+// without a report. Prompts differ by orders of magnitude: where tokens are told, they count. Of
+// few nodes, whose own counts are in requests, requests do.
 func (s *Scheduler) running(v *server) float64 {
-	if waiting, told := v.report[ReportWaiting]; told && s.prompt > 0 {
+	if waiting, told := v.report[ReportWaiting]; told && s.prompt > 0 && s.set.Nodes > manyNodes {
 		return waiting * 1000 / s.prompt
 	}
 	return max(v.report[ReportInFlight], v.report[ReportQueue])
