Record each change of a request's state with the process's phase

Change: the package reqlog writes one bounded record a change (read, refused, admitted, attempt, sent, ended) at level debug; each line of the log tells the process's phase; a shutdown tells its steps. One check where debug is off.

--- a/cmd/ashwood/main.go
+++ b/cmd/ashwood/main.go
@@ -26,6 +26,7 @@
 	"ashwood.example/ashwood/internal/grpcfront"
 	"ashwood.example/ashwood/internal/handover"
 	"ashwood.example/ashwood/internal/platform"
+	"ashwood.example/ashwood/internal/reqlog"
 	"ashwood.example/ashwood/limits"
 	"ashwood.example/ashwood/router"
 )
@@ -59,7 +60,9 @@
 	if err != nil {
 		return err
 	}
-	log := op.Log.Logger(os.Stderr)
+	var now phase
+	now.set(starting)
+	log := reqlog.WithPhase(op.Log.Logger(os.Stderr), now.word)
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	debug.SetGCPercent(heapGrowth)
 	hup := make(chan os.Signal, 1) // the default would end the program
@@ -69,14 +72,12 @@
 	defer stop()
 
 	c := clock.System()
-	var now phase
-	now.set(starting)
 	var serves atomic.Pointer[front] // the platform's
 	mgmt, mgmtAddr, err := openAdmin(cfg.Mgmt, cfg.Limits.Sockets, &now, func() string {
 		if f := serves.Load(); f != nil {
 			return metricsReply(*f)
 		}
-		return "NO " + *now.Load() + "\n"
+		return "NO " + now.word() + "\n"
 	}, log)
 	if err != nil {
 		return err
@@ -127,18 +128,21 @@
 		}
 	}
 	now.set(stopping)
+	log.Info("shutdown: told to end")
 	others.tell(handover.Leaving)
 	for _, f := range fronts {
 		f.drain()
 	}
 	defer others.bequeath(fronts, lastWait(cfg.Settings))()
 	time.Sleep(drainTime)
+	log.Info("shutdown: the drain time is over")
 	errs := make([]error, len(fronts))
 	var all sync.WaitGroup
 	for i, f := range fronts {
 		all.Go(func() { errs[i] = f.shutdown() })
 	}
 	all.Wait()
+	log.Info("shutdown: nothing is left")
 	return errors.Join(errs...)
 }
 
--- a/cmd/ashwood/mgmt.go
+++ b/cmd/ashwood/mgmt.go
@@ -15,6 +15,8 @@
 
 func (p *phase) set(word string) { p.Store(&word) }
 
+func (p *phase) word() string { return *p.Load() }
+
 // Callers that the admin server holds at once, by the sockets that the machine allows.
 const socketsACaller, leastCallers, mostCallers = 32, 4, 16
 
@@ -29,7 +31,7 @@
 	}
 	server := admin.New(log, map[string]admin.Call{
 		"check": func() string {
-			if word := *p.Load(); word != serving {
+			if word := p.word(); word != serving {
 				return "NO " + word + "\n"
 			}
 			return "YES\n"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/internal/clock"
 	"ashwood.example/ashwood/internal/metrics"
+	"ashwood.example/ashwood/internal/reqlog"
 )
 
 // Times of the calls around an attempt, in milliseconds.
@@ -135,6 +136,7 @@
 	}
 	h := g.owner.holds(req.ID)
 	var last error
+	reason := "first"
 	for {
 		final := step.Kind != ashwood.StepSend && step.Kind != ashwood.StepRelease
 		if step.Release {
@@ -143,7 +145,9 @@
 		switch step.Kind {
 		case ashwood.StepSend:
 			h.overdue()
+			g.record(req, step, reqlog.Attempt, reason)
 			ans, next := g.attempt(ctx, req, step, h)
+			reason = "after " + statusName(ans.Status)
 			if answered(ans.Status) {
 				g.owner.heard(step.Engine)
 			} else if ans.Status != ashwood.NotSent && ans.Status != ashwood.CalledOff {
@@ -181,6 +185,7 @@
 			return !late && actx.Err() == nil && g.router.Accepts(step.Engine.ID)
 		},
 		Sent: func() {
+			g.record(req, step, reqlog.Sent, "")
 			h.sent(step.Engine)
 			g.metrics.Relayed(req.Class)
 			if step.Place.ID != "" {
@@ -217,6 +222,13 @@
 	return ans, g.router.Report(req.ID, step.Attempt, ans.Result)
 }
 
+// record logs what has become of a request's attempt, with the time that its engine is told.
+func (g *Gateway) record(req *Request, step ashwood.Step, state reqlog.State, reason string) {
+	reqlog.Write(g.log, reqlog.Change{
+		ID: string(req.ID), Class: req.Class, State: state, Attempt: step.Attempt, Engine: string(step.Engine.ID), Left: step.Timeout, Reason: reason,
+	})
+}
+
 func (g *Gateway) spawn(f func()) { g.beside.Go(func() { g.guard(f) }) }
 
 // Wait waits for what runs beside requests: places asked for, releases, probes.
@@ -227,6 +239,31 @@
 	g.beside.Wait()
 }
 
+// statusName names how an attempt ended, for records.
+func statusName(s ashwood.Status) string {
+	switch s {
+	case ashwood.Served:
+		return "served"
+	case ashwood.ServerError:
+		return "server error"
+	case ashwood.TurnedAway:
+		return "turned away"
+	case ashwood.NoAnswer:
+		return "no answer"
+	case ashwood.NoConnection:
+		return "no connection"
+	case ashwood.ConnectionLost:
+		return "connection lost"
+	case ashwood.CalledOff:
+		return "cancelled"
+	case ashwood.NotSent:
+		return "not sent"
+	case ashwood.Parsed:
+		return "prompt read"
+	}
+	return "unknown"
+}
+
 // answered tells whether an attempt's end shows that its engine runs and is heard.
 func answered(s ashwood.Status) bool {
 	return s == ashwood.Served || s == ashwood.Parsed || s == ashwood.TurnedAway || s == ashwood.ServerError
--- a/internal/platform/move.go
+++ b/internal/platform/move.go
@@ -229,7 +229,8 @@
 
 // adopt makes a connection of one that another process had accepted, with a request on its way.
 func (l *listener) adopt(nc net.Conn, ahead []byte) *clientConn {
-	c := &clientConn{Conn: nc, l: l, first: time.Now(), served: true, ahead: ahead}
+	now := time.Now()
+	c := &clientConn{Conn: nc, l: l, came: now, first: now, served: true, ahead: ahead}
 	c.written.Store(true)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -18,6 +18,7 @@
 
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/gateway"
+	"ashwood.example/ashwood/internal/reqlog"
 )
 
 const (
@@ -150,6 +151,7 @@
 	}
 	client, gone := context.WithCancel(context.Background())
 	conn, _ := ctx.Conn().(*clientConn)
+	logRead(conn, ctx, req)
 	room := true
 	if conn != nil {
 		room = conn.begin()
@@ -198,6 +200,16 @@
 	}
 }
 
+// logRead records a request that has been read, with its connection's age and how many have
+// been read from it, this one among them.
+func logRead(conn *clientConn, ctx *fasthttp.RequestCtx, req *gateway.Request) {
+	if conn == nil {
+		return // a host's own listener: there is no log
+	}
+	reqlog.Write(conn.l.log, reqlog.Change{ID: string(req.ID), Class: req.Class, State: reqlog.Read, Left: req.Remaining},
+		slog.Int64("connection_ms", time.Since(conn.came).Milliseconds()), slog.Uint64("of_connection", ctx.ConnRequestNum()))
+}
+
 const refusedText = "refused: try again later"
 
 func failedText(err error) string {
--- a/router/router.go
+++ b/router/router.go
@@ -19,6 +19,7 @@
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/gateway"
 	"ashwood.example/ashwood/internal/metrics"
+	"ashwood.example/ashwood/internal/reqlog"
 	"ashwood.example/ashwood/lifecycle"
 	"ashwood.example/ashwood/limits"
 )
@@ -233,6 +234,11 @@
 
 func (r *Router) serve(ctx context.Context, req *gateway.Request) (gateway.Reply, error) {
 	id, v, err := r.enter(req)
+	if err != nil {
+		reqlog.Write(r.log, change(req, reqlog.Refused, err.Error()))
+	} else {
+		reqlog.Write(r.log, change(req, reqlog.Admitted, ""))
+	}
 	var refusal *limits.Refusal
 	switch {
 	case errors.As(err, &refusal):
@@ -263,11 +269,17 @@
 	ended := errors.Is(context.Cause(vctx), ErrShuttingDown)
 	r.leave(id)
 	if ended && reply.Kind == gateway.Gone {
+		reqlog.Write(r.log, change(req, reqlog.Ended, ErrShuttingDown.Error()))
 		reply = r.unanswered(req.Class)
 	}
 	return reply, err
 }
 
+// change is a record of what has become of a request.
+func change(req *gateway.Request, state reqlog.State, reason string) reqlog.Change {
+	return reqlog.Change{ID: string(req.ID), Class: req.Class, State: state, Left: req.Remaining, Reason: reason}
+}
+
 // enter asks for a place in the house.
 func (r *Router) enter(req *gateway.Request) (lifecycle.ID, *visit, error) {
 	r.mu.Lock()
