Take on nothing, and promise nothing, beyond what a process that ends has left to live

Cause (docs/incidents/2026-12-02-shutdown.md): the router took requests for as long as its front had a connection open; nothing bounded them or what waited before by the process's own end unless a newer process took over (lastWait, cmd/ashwood/versions.go); the library that reads requests leaves new connections that have brought nothing open for 5 s. Change: lifecycle.Lifetime, one pure rule, is asked by the router for every request of every front, cuts all deadlines in the decision module (ending.go: retries, times told to engines), and has what waits answered 0.7 s before the kill, refused where no decode engine may have run it, with its releases made. The time counts from the signal, or from the begin of a stop or delay with which it came. A process told before it serves does not serve. A configuration that comes while it ends is still read. Readiness is no longer told by a process that ends. A late half request is answered 503 or 408.

--- a/cmd/ashwood/main.go
+++ b/cmd/ashwood/main.go
@@ -17,7 +17,6 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
-	"time"
 
 	"golang.org/x/net/netutil"
 
@@ -27,13 +26,12 @@
 	"ashwood.example/ashwood/internal/handover"
 	"ashwood.example/ashwood/internal/platform"
 	"ashwood.example/ashwood/internal/reqlog"
+	"ashwood.example/ashwood/lifecycle"
 	"ashwood.example/ashwood/limits"
 	"ashwood.example/ashwood/router"
 )
 
 const (
-	// After SIGTERM clients keep coming for a while; what comes is served.
-	drainTime = 500 * time.Millisecond
 	// The heap may grow by this share of what lives before it is collected. At
 	// a few MB that is cheap, and the process stays small on a long day.
 	heapGrowth = 50
@@ -52,6 +50,9 @@
 
 // run serves until SIGTERM.
 func run() error {
+	c := clock.System()
+	term, stop := noticeSignals(c) // before all else: the process may be told before it serves
+	defer stop()
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -68,10 +69,7 @@
 	hup := make(chan os.Signal, 1) // the default would end the program
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
-	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 
-	c := clock.System()
 	var serves atomic.Pointer[front] // the platform's
 	mgmt, mgmtAddr, err := openAdmin(cfg.Mgmt, cfg.Limits.Sockets, &now, func() string {
 		if f := serves.Load(); f != nil {
@@ -97,6 +95,10 @@
 		fronts = append(fronts, f)
 	}
 	f, err := openPlatform(term, cfg, op.Limits, others, c, log)
+	if errors.Is(err, errToldEarly) {
+		log.Info("shutdown: told to end before it served")
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -128,20 +130,43 @@
 		}
 	}
 	now.set(stopping)
-	log.Info("shutdown: told to end")
+	life := term.lifetime(cfg.Settings)
+	log.Info("shutdown: told to end", "take_ms", life.TakeUntil-c.Now(), "answer_ms", life.AnswerBy-c.Now())
 	others.tell(handover.Leaving)
 	for _, f := range fronts {
 		f.drain()
+		defer f.endBy(life)()
+	}
+	others.bequeath(fronts)
+	drained := make(chan struct{})
+	defer c.AfterFunc(life.TakeUntil-c.Now(), func() { close(drained) })()
+	for open := true; open; {
+		select {
+		case <-hup:
+			reload(log, fronts)
+		case <-drained:
+			open = false
+		}
 	}
-	defer others.bequeath(fronts, lastWait(cfg.Settings))()
-	time.Sleep(drainTime)
 	log.Info("shutdown: the drain time is over")
 	errs := make([]error, len(fronts))
 	var all sync.WaitGroup
 	for i, f := range fronts {
 		all.Go(func() { errs[i] = f.shutdown() })
 	}
-	all.Wait()
+	left := make(chan struct{})
+	go func() {
+		all.Wait()
+		close(left)
+	}()
+	for open := true; open; {
+		select {
+		case <-hup: // engines still join and drain while what was taken goes on
+			reload(log, fronts)
+		case <-left:
+			open = false
+		}
+	}
 	log.Info("shutdown: nothing is left")
 	return errors.Join(errs...)
 }
@@ -172,9 +197,12 @@
 	yield    func(bool)            // while a newer process serves, clients are to go there
 	give     func(platform.Give)   // hand begun answers to another process
 	take     func([]byte, net.Conn, net.Conn) error
-	end      func() // end what waits for its answer to begin
+	endBy    func(lifecycle.Lifetime) (stop func() bool)
 }
 
+// errToldEarly says that the process was told to end before it took any client.
+var errToldEarly = errors.New("told to end before serving")
+
 // openPlatform sets up the platform's protocol.
 func openPlatform(ctx context.Context, cfg config.Config, limit limits.Config, others *versions, c clock.Clock, log *slog.Logger) (front, error) {
 	sockets := float64(cfg.Limits.Sockets)
@@ -195,6 +223,9 @@
 		return front{}, err
 	}
 	others.await(ctx, source.first)
+	if ctx.Err() != nil {
+		return front{}, errors.Join(errToldEarly, r.Close())
+	}
 	l, err := handover.Listen(cfg.Listen)
 	if err != nil {
 		return front{}, errors.Join(err, r.Close())
@@ -217,7 +248,11 @@
 			s.Share(processes)
 			d.Share(processes)
 		},
-		yield: s.Yield, give: s.Give, take: s.Adopt, end: r.EndWaiting,
+		yield: s.Yield, give: s.Give, take: s.Adopt,
+		endBy: func(l lifecycle.Lifetime) func() bool {
+			r.EndBy(l)
+			return s.EndBy(clock.Duration(l.AnswerBy - c.Now()))
+		},
 	}, nil
 }
 
@@ -250,6 +285,10 @@
 			return r.Shutdown(context.Background())
 		},
 		reload: func(config.Config) {}, // its boxes have a list of their own
-		vars:   r.Vars, share: r.Share, yield: func(bool) {}, give: func(platform.Give) {}, end: r.EndWaiting,
+		vars:   r.Vars, share: r.Share, yield: func(bool) {}, give: func(platform.Give) {},
+		endBy: func(l lifecycle.Lifetime) func() bool {
+			r.EndBy(l)
+			return func() bool { return true }
+		},
 	}, nil
 }
--- /dev/null
+++ b/cmd/ashwood/notice.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"context"
+	"math"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+
+	"ashwood.example/ashwood"
+	"ashwood.example/ashwood/internal/clock"
+	"ashwood.example/ashwood/lifecycle"
+)
+
+// Times of the heartbeat, in ms: by it a process sees that it was stopped or held up.
+const (
+	beatEvery = 200.0
+	beatLate  = 350.0 // behind the beat before: beatEvery, and the 150 ms of an ordinary delay
+)
+
+// notice tells when this process was told to end.
+//
+// The platform counts from the moment in which it sends the signal. A process that was stopped
+// or held up gets its signals late: one that comes with the end of such a gap may have been
+// sent at any time in it, and the earliest counts.
+type notice struct {
+	context.Context // ends when the process is told
+
+	clock clock.Clock
+	mu    sync.Mutex
+	last  float64 // the last beat
+	gap   float64 // the beat before the latest gap
+	over  float64 // the end of that gap
+	told  float64 // +Inf = not yet
+	stop  func() bool
+}
+
+// noticeSignals begins to wait for SIGTERM and interrupts. close ends that.
+func noticeSignals(c clock.Clock) (n *notice, close func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	ctx, cancel := context.WithCancel(context.Background())
+	n = newNotice(ctx, c)
+	go func() {
+		select {
+		case <-signals:
+			n.tell()
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return n, func() {
+		signal.Stop(signals)
+		cancel()
+		n.close()
+	}
+}
+
+func newNotice(ctx context.Context, c clock.Clock) *notice {
+	n := &notice{Context: ctx, clock: c, last: c.Now(), told: math.Inf(1)}
+	n.stop = c.AfterFunc(beatEvery, n.beat)
+	return n
+}
+
+// beat notes that the process runs.
+func (n *notice) beat() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.look(n.clock.Now())
+	if math.IsInf(n.told, 1) {
+		n.stop = n.clock.AfterFunc(beatEvery, n.beat)
+	}
+}
+
+// look notes a gap before now, if there is one.
+func (n *notice) look(now float64) {
+	if now-n.last > beatLate {
+		n.gap, n.over = n.last, now
+	}
+	n.last = now
+}
+
+// tell notes that a signal has come.
+func (n *notice) tell() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock.Now()
+	n.look(now)
+	n.told = now
+	if n.over > 0 && now-n.over < beatEvery {
+		n.told = n.gap
+	}
+}
+
+// lifetime is what the process has left to live, as far as it knows.
+func (n *notice) lifetime(set ashwood.Settings) lifecycle.Lifetime {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if math.IsInf(n.told, 1) {
+		return lifecycle.Unlimited()
+	}
+	longest := 0.0
+	for _, class := range set.Classes {
+		longest = max(longest, clock.Millis(class.Deadline))
+	}
+	return lifecycle.Told(n.told, longest)
+}
+
+func (n *notice) close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stop()
+	n.told = min(n.told, n.clock.Now()) // no further beat
+}
--- a/cmd/ashwood/versions.go
+++ b/cmd/ashwood/versions.go
@@ -153,16 +153,18 @@
 }
 
 // bequeath has a newer process that serves, if there is one, go on with the answers that
-// have begun or will; after so many ms what has not begun is ended, so that nothing stays
-// held for it when this process is killed. The returned function calls that off.
-func (v *versions) bequeath(fronts []front, wait float64) (stop func() bool) {
+// have begun or will.
+func (v *versions) bequeath(fronts []front) {
 	if v.group == nil {
-		return func() bool { return true }
+		return
+	}
+	members, err := v.group.Members()
+	if err != nil {
+		v.log.Warn("upgrade: the others can't be seen", "err", err)
 	}
-	members, _ := v.group.Members()
 	heir, ok := handover.Heir(v.group.Self().Name, members)
 	if !ok {
-		return func() bool { return true }
+		return
 	}
 	v.log.Info("upgrade: a newer process goes on with what has begun", "name", heir)
 	for _, f := range fronts {
@@ -174,22 +176,6 @@
 			return err
 		})
 	}
-	return v.clock.AfterFunc(wait, func() {
-		for _, f := range fronts {
-			f.end()
-		}
-	})
-}
-
-// lastWait is how many ms after SIGTERM what has no answer yet is ended: the platform
-// leaves a process the longest deadline, counted as 3 s where it is longer, and 0.7 s more,
-// in which what is held is let go of.
-func lastWait(set ashwood.Settings) float64 {
-	longest := 0.0
-	for _, c := range set.Classes {
-		longest = max(longest, clock.Millis(c.Deadline))
-	}
-	return min(longest, 3000)
 }
 
 // leave ends it.
--- a/facade.go
+++ b/facade.go
@@ -106,6 +106,14 @@
 	t.handle(Members{Form: form, Entries: list})
 }
 
+// EndBy tells that this node ends: by that time, in ms of the clock, each request must have
+// its answer, or its answer must have begun. No attempt is made for longer.
+func (t *Router) EndBy(at float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.handle(Ending{At: duration(at)})
+}
+
 // Accepts tells whether a server may be sent new work at this moment.
 func (t *Router) Accepts(id ServerID) bool {
 	t.mu.Lock()
--- a/flight.go
+++ b/flight.go
@@ -62,12 +62,19 @@
 	}
 	f.over = true
 	t.handle(Gone{id})
-	if f.step.Kind == StepSend {
-		f.out--
-		f.cancel[f.step.Attempt]()
-		t.handle(Outcome{ID: id, Attempt: f.step.Attempt, Server: f.step.Engine.ID, Status: NotSent, Done: true})
-	}
+	t.drop(id, f)
+}
+
+// drop takes back a step that has not been taken up, and reports its attempt as never sent.
+func (t *Router) drop(id RequestID, f *flight) {
+	step := f.step
 	f.step = Step{}
+	if step.Kind != StepSend {
+		return
+	}
+	f.out--
+	f.cancel[step.Attempt]()
+	t.handle(Outcome{ID: id, Attempt: step.Attempt, Server: step.Engine.ID, Status: NotSent, Done: true})
 }
 
 // handle puts an event to the module and turns its actions into steps.
@@ -130,10 +137,14 @@
 }
 
 func (t *Router) final(id RequestID, step Step) {
-	if f := t.flights[id]; f != nil {
-		f.step, f.over = step, true
-		f.signal()
+	f := t.flights[id]
+	if f == nil {
+		return
 	}
+	f.over = true
+	t.drop(id, f) // a node that ends gives up requests whose attempts are out
+	f.step = step
+	f.signal()
 }
 
 func (f *flight) signal() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,6 +104,10 @@
 // Share says how many processes count as this one gateway; see ashwood.Router.
 func (g *Gateway) Share(processes int) { g.router.Share(processes) }
 
+// EndBy tells by when, in ms of the clock, each request must have its answer, because the
+// process ends then; see ashwood.Router.
+func (g *Gateway) EndBy(at float64) { g.router.EndBy(at) }
+
 // TurnAway tells of a request that a front refuses by itself for want of room, and gives
 // how long its client is to stay away, as Pause does.
 func (g *Gateway) TurnAway(class string) float64 {
--- a/internal/platform/ahead.go
+++ b/internal/platform/ahead.go
@@ -77,7 +77,6 @@
 			return n, err
 		}
 	}
-	c.reading.Store(true)
 	c.latest.Store(time.Now().UnixNano())
 	c.got += n
 	return n, nil
--- a/internal/platform/closing.go
+++ b/internal/platform/closing.go
@@ -36,6 +36,31 @@
 func (c *clientConn) shutdown() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.shutLocked()
+}
+
+// closeUnread closes the connection unless a byte of a request has been read from it, and tells
+// whether it has.
+func (c *clientConn) closeUnread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading.Load() {
+		return false
+	}
+	c.l.mu.Lock()
+	waits := c.place != nil
+	if waits {
+		c.l.leave(c)
+	}
+	c.l.mu.Unlock()
+	if waits {
+		c.shutLocked()
+	}
+	return waits
+}
+
+// shutLocked is the first step, with the connection's lock held.
+func (c *clientConn) shutLocked() {
 	if c.shut {
 		if c.cutOff { // who reads it has woken
 			c.l.forget(c)
@@ -78,6 +103,9 @@
 	defer c.mu.Unlock()
 	c.inRead = false
 	if !c.shut {
+		if n > 0 { // from now on it is owed an answer
+			c.reading.Store(true)
+		}
 		return n, err
 	}
 	if !c.cutOff {
@@ -93,6 +121,9 @@
 	if c.shut && !c.cutOff {
 		return net.ErrClosed
 	}
+	if by := c.l.readBy.Load(); by != nil && t.After(*by) {
+		t = *by
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -110,6 +141,37 @@
 	l.forget(c)
 }
 
+// closeIdle closes the connections without a request, now and as they come, and counts them.
+func (l *listener) closeIdle() (closed int) {
+	l.mu.Lock()
+	l.stopped = true
+	l.mu.Unlock()
+	for _, c := range l.withoutRequest() {
+		if c.closeUnread() {
+			closed++
+		}
+	}
+	return closed
+}
+
+// expire ends the wait for requests of which a part has been read: each gets its error.
+func (l *listener) expire() {
+	for _, c := range l.withoutRequest() {
+		// It fails where the connection has ended, which is as well.
+		_ = c.readUntil(time.Now())
+	}
+}
+
+// withoutRequest gives the connections from which no whole request has been read.
+func (l *listener) withoutRequest() (waiting []*clientConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for e := l.waiting.Front(); e != nil; e = e.Next() {
+		waiting = append(waiting, e.Value.(*clientConn))
+	}
+	return waiting
+}
+
 // forget tells that a connection's descriptor is gone.
 func (l *listener) forget(c *clientConn) {
 	l.mu.Lock()
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -45,6 +45,8 @@
 	lingering list.List    // of these, *clientConn whose clients may still send, the first first
 	woken     sync.Cond    // a descriptor is gone
 	ended     bool
+	stopped   bool                      // connections without a request are closed at once
+	readBy    atomic.Pointer[time.Time] // no request is read for longer; nil = not told
 }
 
 // busyShare is the part of a listener's connections that may have a request
@@ -72,8 +74,12 @@
 	old, why := l.oldest(now)
 	l.open++
 	c.place = l.waiting.PushBack(c)
+	stopped := l.stopped
 	l.mu.Unlock()
 	l.turnBack(old, why)
+	if stopped {
+		c.closeUnread()
+	}
 	return c, nil
 }
 
@@ -277,9 +283,11 @@
 // again tells that the next request is being read for: all of the answer before has left.
 func (c *clientConn) again() {
 	c.ended = false
+	c.mu.Lock()
+	c.reading.Store(len(c.ahead) > 0)
+	c.mu.Unlock()
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
-	c.reading.Store(false)
 	if !c.left && c.place == nil {
 		c.place = c.l.waiting.PushBack(c)
 	}
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -86,8 +86,20 @@
 // Share says how many processes share the connections that the limit allows.
 func (s *Server) Share(processes int) { s.in.share(processes) }
 
-// Shutdown takes nothing more and waits for what it has taken.
+// EndBy says how long requests may still be read, since the process ends. Those of which
+// a part has come get the error of a request that is not whole in time.
+func (s *Server) EndBy(left time.Duration) (stop func() bool) {
+	at := time.Now().Add(left)
+	s.in.readBy.Store(&at)
+	return time.AfterFunc(left, s.in.expire).Stop
+}
+
+// Shutdown takes nothing more and waits for what it has taken. Connections without a request
+// are closed here: the library's own sweep compares readings of the wall clock, and leaves new
+// connections that have brought nothing for 5 s.
 func (s *Server) Shutdown(ctx context.Context) error {
+	closed := s.in.closeIdle()
+	s.log.Info("shutdown: connections without a request are closed", "count", closed)
 	err := s.http.ShutdownWithContext(ctx)
 	s.adopted.Wait() // each ends with its answer: its connection is closed behind it by now
 	s.in.wait()
@@ -123,7 +135,7 @@
 		clean = c.take(&ctx.Request)
 	}
 	if string(ctx.Path()) == readyPath && ctx.IsGet() {
-		ctx.SetStatusCode(fasthttp.StatusOK)
+		ctx.SetStatusCode(s.readiness())
 	} else {
 		Answer(ctx, s.gw, frontName)
 	}
@@ -136,6 +148,14 @@
 	}
 }
 
+// readiness is the answer to who asks whether this process takes clients.
+func (s *Server) readiness() int {
+	if s.draining.Load() {
+		return fasthttp.StatusServiceUnavailable
+	}
+	return fasthttp.StatusOK
+}
+
 // Answer routes a request in the platform's form and answers it. A streamed
 // answer goes on after Answer has returned, for as long as it lasts.
 func Answer(ctx *fasthttp.RequestCtx, gw Handler, front string) {
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -75,6 +75,7 @@
 	phase  Phase
 	times  Times
 	until  float64 // the end of the phase that has one
+	life   Lifetime
 	next   ID
 	inside map[ID]Stage
 	order  []ID // of those inside, as they came; may hold some that have left
@@ -83,7 +84,7 @@
 
 // NewMachine makes a router's life, in phase New.
 func NewMachine() *Machine {
-	return &Machine{phase: New, until: math.Inf(1), inside: map[ID]Stage{}, ended: map[ID]bool{}}
+	return &Machine{phase: New, until: math.Inf(1), life: Unlimited(), inside: map[ID]Stage{}, ended: map[ID]bool{}}
 }
 
 // Phase is the present one.
@@ -104,14 +105,27 @@
 	return ErrStopping
 }
 
-// Enter takes a request in, or tells why not.
-func (m *Machine) Enter() (ID, error) {
+// Expect tells what the process has left to live. Told again, only what is sooner counts.
+func (m *Machine) Expect(l Lifetime) { m.life = m.life.Sooner(l) }
+
+// Enter takes a request in that has been read now, or tells why not.
+func (m *Machine) Enter(now float64) (ID, error) {
+	if !m.life.Takes(now) && m.phase != New {
+		return 0, ErrStopping
+	}
+	return m.enter(Waiting)
+}
+
+// Adopt takes a request in whose answer another process of the same gateway has begun.
+func (m *Machine) Adopt() (ID, error) { return m.enter(Begun) }
+
+func (m *Machine) enter(stage Stage) (ID, error) {
 	switch m.phase {
 	case New:
 		return 0, ErrNotStarted
 	case Running, Draining:
 		m.next++
-		m.inside[m.next] = Waiting
+		m.inside[m.next] = stage
 		m.order = append(m.order, m.next)
 		return m.next, nil
 	}
--- /dev/null
+++ b/lifecycle/lifetime.go
@@ -0,0 +1,42 @@
+package lifecycle
+
+import "math"
+
+// Times of a planned restart, in ms from the moment at which the process is told to end.
+const (
+	// Clients come for 200 to 400 ms more, and what was read in the first 700 ms is not held
+	// against a process that is killed: between them, with 150 ms by which a process may be
+	// held up behind its clock.
+	takeFor = 500.0
+	// The platform leaves a process the longest deadline, counted as 3 s where it is longer,
+	// and 700 ms more, which are left for releases of what is held and for delays.
+	longestCounted = 3000.0
+)
+
+// Lifetime is what a process has left to live. All that it takes on follows from it: nothing
+// new is taken from TakeUntil on, and nothing that was taken waits for its answer longer than
+// AnswerBy. Times are ms of the clock that the process uses for deadlines.
+type Lifetime struct {
+	TakeUntil float64
+	AnswerBy  float64
+}
+
+// Unlimited is the lifetime of a process that has not been told to end.
+func Unlimited() Lifetime {
+	return Lifetime{TakeUntil: math.Inf(1), AnswerBy: math.Inf(1)}
+}
+
+// Told is the lifetime of a process that was told to end at a time, by the longest deadline
+// of its classes of requests.
+func Told(at, longestDeadline float64) Lifetime {
+	answerBy := at + min(longestDeadline, longestCounted)
+	return Lifetime{TakeUntil: min(at+takeFor, answerBy), AnswerBy: answerBy}
+}
+
+// Takes tells whether a request that has been read may be taken on at a time.
+func (l Lifetime) Takes(now float64) bool { return now < l.TakeUntil }
+
+// Sooner is the shorter of two lifetimes: a process that is told again does not live longer.
+func (l Lifetime) Sooner(other Lifetime) Lifetime {
+	return Lifetime{TakeUntil: min(l.TakeUntil, other.TakeUntil), AnswerBy: min(l.AnswerBy, other.AnswerBy)}
+}
--- a/outcomes.go
+++ b/outcomes.go
@@ -157,6 +157,8 @@
 	switch {
 	case t.what == watchAgain:
 		s.act(Watch{})
+	case t.what == endRequests:
+		s.endRequests()
 	case r == nil || r.done:
 	case t.what == lookAgain:
 		s.advance(r)
--- a/router/answer.go
+++ b/router/answer.go
@@ -73,10 +73,9 @@
 	vctx, cancel := context.WithCancelCause(ctx)
 	v := &visit{cancel: cancel}
 	r.mu.Lock()
-	id, err := r.life.Enter()
+	id, err := r.life.Adopt()
 	if err == nil {
 		r.inside[id] = v
-		r.life.Began(id)
 	}
 	r.mu.Unlock()
 	if err != nil {
--- a/router/router.go
+++ b/router/router.go
@@ -70,6 +70,7 @@
 	life    *lifecycle.Machine
 	limit   *limits.Limiter
 	inside  map[lifecycle.ID]*visit
+	endings []func() bool // timers of EndBy
 	changed chan struct{} // something is to be looked at by the stop
 	once    sync.Once     // begins the stop
 	done    chan struct{} // closed when it is over
@@ -284,7 +285,7 @@
 func (r *Router) enter(req *gateway.Request) (lifecycle.ID, *visit, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	id, err := r.life.Enter()
+	id, err := r.life.Enter(r.clock.Now())
 	if err != nil {
 		return 0, nil, err
 	}
--- a/router/stop.go
+++ b/router/stop.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"math"
+	"time"
 
+	"ashwood.example/ashwood/internal/clock"
 	"ashwood.example/ashwood/lifecycle"
 )
 
@@ -21,6 +23,9 @@
 // It may be called again, and at the same time; each call's ctx can only make
 // the stop shorter.
 func (r *Router) Shutdown(ctx context.Context) error {
+	if at, ok := ctx.Deadline(); ok { // no attempt is made, and no engine is told a time, beyond it
+		r.gw.EndBy(r.clock.Now() + clock.Millis(time.Until(at)))
+	}
 	r.stop(lifecycle.Times{Drain: r.cfg.DrainMs, Grace: math.Inf(1), Settle: settleMs})
 	select {
 	case <-r.done:
@@ -38,6 +43,18 @@
 	return r.verdict(ErrShuttingDown)
 }
 
+// EndBy tells what the process has left to live, before a Shutdown: from the one time on,
+// requests are refused, and by the other, all that have no answer get one, refused where that
+// is harmless. No attempt is begun for longer. Answers that have begun go on. Told again, only
+// what is sooner counts.
+func (r *Router) EndBy(l lifecycle.Lifetime) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.life.Expect(l)
+	r.gw.EndBy(l.AnswerBy)
+	r.endings = append(r.endings, r.clock.AfterFunc(l.AnswerBy+endAnyway-r.clock.Now(), r.EndWaiting))
+}
+
 func (r *Router) verdict(cause error) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -50,6 +67,10 @@
 	return nil
 }
 
+// endAnyway is how many ms behind its time a request without an answer is ended that the
+// decisions have not ended: those of an engine's attempts that can't be called off.
+const endAnyway = 100.0
+
 // stop begins a stop, or makes one shorter that goes on.
 func (r *Router) stop(t lifecycle.Times) {
 	r.mu.Lock()
@@ -100,6 +121,11 @@
 		}
 		stop()
 	}
+	r.mu.Lock()
+	for _, stop := range r.endings {
+		stop()
+	}
+	r.mu.Unlock()
 	r.gw.Wait() // releases go on until they are answered, for two seconds at most
 	r.cancel()
 	r.running.Wait()
--- a/scheduler.go
+++ b/scheduler.go
@@ -1,7 +1,8 @@
 // Package ashwood decides, for one node, where prompts are read and answers
 // are written: prefix-cache-aware routing over readers (prefill), then the
 // roomiest nearby writer (decode). This file, outcomes.go, health.go and choose.go
-// hold every decision and tuned value; the interface is in types.go, what is remembered in state.go.
+// hold every decision and tuned value, ending.go what becomes of requests when the node ends;
+// the interface is in types.go, what is remembered in state.go.
 package ashwood
 
 import (
@@ -86,7 +87,8 @@
 		return
 	}
 	r := &request{
-		Request: e, class: c, arrived: s.now, idle: s.now, deadline: s.now + e.TimeLeft, tried: map[*server]bool{},
+		Request: e, class: c, arrived: s.now, idle: s.now, tried: map[*server]bool{},
+		deadline: min(s.now+e.TimeLeft, s.endsAt),
 	}
 	s.reqs[e.ID] = r
 	s.cost[c] = cmp.Or(s.cost[c], e.PromptTokens)
@@ -96,7 +98,7 @@
 	if q := s.asked[e.Tenant]; q != nil {
 		q.Add(s.now, time.Second, 1)
 	}
-	s.after(e.TimeLeft, timer{e.ID, lookAgain})
+	s.after(r.deadline-s.now, timer{e.ID, lookAgain})
 	s.creditChance()
 	if r.PromptTokens > s.longest {
 		s.giveUp(r, WhyTooLong)
--- a/state.go
+++ b/state.go
@@ -107,6 +107,7 @@
 const (
 	lookAgain = -1 - iota
 	watchAgain
+	endRequests
 )
 
 // Scheduler makes the decisions of one node.
@@ -128,7 +129,8 @@
 	reqs       map[RequestID]*request
 	timers     map[uint64]timer
 	next       uint64
-	copies     float64 // processes that count as this one node
+	copies     float64       // processes that count as this one node
+	endsAt     time.Duration // by then each request has its answer; math.MaxInt64 = not known
 	table      prefix.Table
 	pace       [stages]trend.Line
 	cost       map[*Class]float64
@@ -239,7 +241,7 @@
 		quota: map[string]float64{}, servers: map[ServerID]*server{}, zones: map[string]*health{},
 		reqs: map[RequestID]*request{}, timers: map[uint64]timer{}, cost: map[*Class]float64{},
 		asked: map[string]*trend.Rate{}, impatience: map[string]float64{},
-		copies: 1, table: prefix.Table{MaxBlocks: maxBlocks, Expiry: blockExpiry},
+		copies: 1, endsAt: math.MaxInt64, table: prefix.Table{MaxBlocks: maxBlocks, Expiry: blockExpiry},
 		minAim: math.MaxInt64, topWorth: math.SmallestNonzeroFloat64,
 		crowd: max(1-2/float64(set.Nodes), 0),
 	}
@@ -346,6 +348,8 @@
 		s.timer(e)
 	case Probed:
 		s.probed(e)
+	case Ending:
+		s.ending(e)
 	}
 	out, s.out = s.out, nil
 	return out
--- a/types.go
+++ b/types.go
@@ -172,7 +172,7 @@
 )
 
 // Event is something that a scheduler is told: one of Members, Request,
-// First, PlaceNote, Outcome, Gone, Timer and Probed.
+// First, PlaceNote, Outcome, Gone, Timer, Probed and Ending.
 type Event interface{ event() }
 
 // Members brings news of the server list.
@@ -248,6 +248,9 @@
 	Report  Report
 }
 
+// Ending tells that this node ends: what has no answer by then gets one.
+type Ending struct{ At time.Duration }
+
 func (Members) event()   {}
 func (Request) event()   {}
 func (First) event()     {}
@@ -256,6 +259,7 @@
 func (Gone) event()      {}
 func (Timer) event()     {}
 func (Probed) event()    {}
+func (Ending) event()    {}
 
 // Action is something that a scheduler wants done: one of Attempt, Ahead,
 // Release, Cancel, Refuse, Fail, SetTimer, Probe and Watch.
@@ -295,6 +299,7 @@
 	WhyNoRoom   Why = "no-room"  // the writers' memory is spoken for
 	WhyTooLate  Why = "too-late" // a first token would be
 	WhyTooLong  Why = "too-long" // no server's memory takes the prompt
+	WhyEnding   Why = "ending"   // this node ends
 )
 
 // Refuse is a final answer: trying again does no harm.
