Know at once, and from when, that the process is told to end; play the troubles

Change: whoever promises anything is told before anybody else learns of the signal, and nothing is taken on within 20 ms behind a gap in the heartbeat.

--- a/cmd/ashwood/main.go
+++ b/cmd/ashwood/main.go
@@ -88,7 +88,7 @@
 	fronts := make([]front, 0, 2)
 	addrs := []any{"name", cfg.Name}
 	if op.GRPC != nil {
-		f, err := openGRPC(cfg, *op.GRPC, op.Limits, c, log)
+		f, err := openGRPC(term, cfg, *op.GRPC, op.Limits, c, log)
 		if err != nil {
 			return err
 		}
@@ -104,6 +104,9 @@
 	}
 	fronts = append(fronts, f)
 	serves.Store(&f)
+	for _, f := range fronts {
+		term.subscribe(cfg.Settings, f.endBy)
+	}
 
 	defer others.receive(f)()
 	others.follow(fronts)
@@ -135,7 +138,6 @@
 	others.tell(handover.Leaving)
 	for _, f := range fronts {
 		f.drain()
-		defer f.endBy(life)()
 	}
 	others.bequeath(fronts)
 	drained := make(chan struct{})
@@ -197,14 +199,14 @@
 	yield    func(bool)            // while a newer process serves, clients are to go there
 	give     func(platform.Give)   // hand begun answers to another process
 	take     func([]byte, net.Conn, net.Conn) error
-	endBy    func(lifecycle.Lifetime) (stop func() bool)
+	endBy    func(lifecycle.Lifetime)
 }
 
 // errToldEarly says that the process was told to end before it took any client.
 var errToldEarly = errors.New("told to end before serving")
 
 // openPlatform sets up the platform's protocol.
-func openPlatform(ctx context.Context, cfg config.Config, limit limits.Config, others *versions, c clock.Clock, log *slog.Logger) (front, error) {
+func openPlatform(term *notice, cfg config.Config, limit limits.Config, others *versions, c clock.Clock, log *slog.Logger) (front, error) {
 	sockets := float64(cfg.Limits.Sockets)
 	opts := []router.Option{router.WithClock(c), router.WithLogger(log)}
 	d := router.NewPlatform(cfg.Discovery, opts...)
@@ -222,8 +224,8 @@
 	if err := r.Start(); err != nil {
 		return front{}, err
 	}
-	others.await(ctx, source.first)
-	if ctx.Err() != nil {
+	others.await(term, source.first)
+	if term.Err() != nil {
 		return front{}, errors.Join(errToldEarly, r.Close())
 	}
 	l, err := handover.Listen(cfg.Listen)
@@ -235,7 +237,7 @@
 			log.Warn("upgrade: the older process goes on getting new connections", "err", err)
 		}
 	}
-	s := platform.NewServer(r, log, int(sockets*clientShare))
+	s := platform.NewServer(settled{r, term}, log, int(sockets*clientShare))
 	return front{
 		name: "listen", addr: l.Addr(), serve: func() error { return s.Serve(l) }, drain: s.Drain,
 		shutdown: func() error {
@@ -249,15 +251,15 @@
 			d.Share(processes)
 		},
 		yield: s.Yield, give: s.Give, take: s.Adopt,
-		endBy: func(l lifecycle.Lifetime) func() bool {
+		endBy: func(l lifecycle.Lifetime) {
 			r.EndBy(l)
-			return s.EndBy(clock.Duration(l.AnswerBy - c.Now()))
+			s.EndBy(clock.Duration(l.AnswerBy - c.Now()))
 		},
 	}, nil
 }
 
 // openGRPC sets up the gRPC front, with a list of boxes of its own.
-func openGRPC(cfg config.Config, op config.GRPC, limit limits.Config, c clock.Clock, log *slog.Logger) (front, error) {
+func openGRPC(term *notice, cfg config.Config, op config.GRPC, limit limits.Config, c clock.Clock, log *slog.Logger) (front, error) {
 	opts := []router.Option{router.WithClock(c), router.WithLogger(log), router.WithTransport(router.GRPCEngines(op.BoxCredentials))}
 	if x := op.XDS; x == nil {
 		opts = append(opts, router.WithSource(router.Static(op.Boxes)))
@@ -277,7 +279,7 @@
 	if err := r.Start(); err != nil {
 		return front{}, err
 	}
-	s := grpcfront.NewServer(r, cfg.Settings, op.Credentials, c, log)
+	s := grpcfront.NewServer(settled{r, term}, cfg.Settings, op.Credentials, c, log)
 	return front{
 		name: "grpc", addr: l.Addr(), serve: func() error { return s.Serve(l) }, drain: s.Drain,
 		shutdown: func() error {
@@ -286,9 +288,6 @@
 		},
 		reload: func(config.Config) {}, // its boxes have a list of their own
 		vars:   r.Vars, share: r.Share, yield: func(bool) {}, give: func(platform.Give) {},
-		endBy: func(l lifecycle.Lifetime) func() bool {
-			r.EndBy(l)
-			return func() bool { return true }
-		},
+		endBy: r.EndBy,
 	}, nil
 }
--- a/cmd/ashwood/notice.go
+++ b/cmd/ashwood/notice.go
@@ -9,14 +9,19 @@
 	"syscall"
 
 	"ashwood.example/ashwood"
+	"ashwood.example/ashwood/gateway"
 	"ashwood.example/ashwood/internal/clock"
 	"ashwood.example/ashwood/lifecycle"
+	"ashwood.example/ashwood/router"
 )
 
 // Times of the heartbeat, in ms: by it a process sees that it was stopped or held up.
 const (
 	beatEvery = 200.0
 	beatLate  = 350.0 // behind the beat before: beatEvery, and the 150 ms of an ordinary delay
+	// signalWait is for how long behind a gap nothing is taken on: a signal that came in it
+	// may not have been seen yet. It takes far less than a millisecond.
+	signalWait = 20.0
 )
 
 // notice tells when this process was told to end.
@@ -34,6 +39,7 @@
 	over  float64 // the end of that gap
 	told  float64 // +Inf = not yet
 	stop  func() bool
+	heard []func() // called when it is told, before the context ends
 }
 
 // noticeSignals begins to wait for SIGTERM and interrupts. close ends that.
@@ -45,7 +51,9 @@
 	go func() {
 		select {
 		case <-signals:
-			n.tell()
+			for _, f := range n.tell() {
+				f()
+			}
 			cancel()
 		case <-ctx.Done():
 		}
@@ -81,8 +89,8 @@
 	n.last = now
 }
 
-// tell notes that a signal has come.
-func (n *notice) tell() {
+// tell notes that a signal has come, and gives who is to hear of it.
+func (n *notice) tell() (heard []func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
@@ -91,6 +99,44 @@
 	if n.over > 0 && now-n.over < beatEvery {
 		n.told = n.gap
 	}
+	return n.heard
+}
+
+// subscribe has f called with what the process has left to live, once it is told; at once
+// where it has been.
+func (n *notice) subscribe(set ashwood.Settings, f func(lifecycle.Lifetime)) {
+	n.mu.Lock()
+	told := !math.IsInf(n.told, 1)
+	n.heard = append(n.heard, func() { f(n.lifetime(set)) })
+	n.mu.Unlock()
+	if told {
+		f(n.lifetime(set))
+	}
+}
+
+// settle waits, right behind a gap, until a signal that came in it has been seen.
+func (n *notice) settle() {
+	n.mu.Lock()
+	now := n.clock.Now()
+	n.look(now)
+	left := n.over + signalWait - now
+	n.mu.Unlock()
+	if left > 0 {
+		// It ends early where the process is told, which is what it waits for.
+		_ = clock.Wait(n, n.clock, left)
+	}
+}
+
+// settled is a router that takes nothing on before the process knows whether it is to end.
+type settled struct {
+	*router.Router
+	notice *notice
+}
+
+// Serve is for fronts.
+func (s settled) Serve(ctx context.Context, req *gateway.Request) (gateway.Reply, error) {
+	s.notice.settle()
+	return s.Router.Serve(ctx, req)
 }
 
 // lifetime is what the process has left to live, as far as it knows.
--- a/cmd/ashwood/site_test.go
+++ b/cmd/ashwood/site_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os/exec"
 	"path/filepath"
 	"regexp"
@@ -35,9 +36,14 @@
 	mu    sync.Mutex
 	sends map[string]int // attempts at the writer, by request
 	freed map[string]int // releases, by request
-	step  chan struct{}  // lets an answer's next piece go; closed = all
-	reads chan struct{}  // lets a read end; nil = at once
-	begun chan string    // ids of answers that have begun
+	// readsOut are attempts at the reader, by request.
+	readsOut map[string]int
+	// away ends discovery: its connections, and new ones.
+	away  []func()
+	step  chan struct{} // lets an answer's next piece go; closed = all
+	reads chan struct{} // lets a read end; nil = at once
+	fault engineFault   // of decode engines
+	begun chan string   // ids of answers that have begun
 }
 
 // newSite reserves an address: a socket that is bound and does not listen gets nothing.
@@ -58,7 +64,7 @@
 	}
 	s := &site{
 		t: t, tmp: t.TempDir(), listen: fmt.Sprintf("127.0.0.1:%d", sa.(*unix.SockaddrInet4).Port),
-		sends: map[string]int{}, freed: map[string]int{}, step: make(chan struct{}), begun: make(chan string, 9999),
+		sends: map[string]int{}, freed: map[string]int{}, readsOut: map[string]int{}, step: make(chan struct{}), begun: make(chan string, 9999),
 	}
 	reader := serve(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodDelete {
@@ -66,6 +72,9 @@
 			return
 		}
 		io.Copy(io.Discard, r.Body) // or its client's end would not be noticed
+		s.mu.Lock()
+		s.readsOut[r.Header.Get("X-Txn")]++
+		s.mu.Unlock()
 		if s.reads != nil {
 			s.begun <- r.Header.Get("X-Txn")
 			select {
@@ -91,6 +100,9 @@
 		s.mu.Lock()
 		s.sends[id]++
 		s.mu.Unlock()
+		if s.fault.answer(w, r) {
+			return
+		}
 		for _, piece := range pieces {
 			io.WriteString(w, piece)
 			w.(http.Flusher).Flush()
@@ -136,7 +148,7 @@
 // begin starts a process; ready waits until it says yes.
 func (s *site) begin() *process {
 	s.t.Helper()
-	config := strings.Replace(configuration(discovery(s.t, s.list), "null"), `"listen":"127.0.0.1:0"`,
+	config := strings.Replace(configuration(s.discovery(), "null"), `"listen":"127.0.0.1:0"`,
 		fmt.Sprintf(`"listen":%q,"mgmt":"127.0.0.1:0"`, s.listen), 1)
 	config = strings.Replace(config, `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, cmp.Or(s.sockets, 1024)), 1)
 	p := &process{t: s.t, cmd: exec.Command(program), done: make(chan struct{})}
@@ -170,6 +182,33 @@
 	return p
 }
 
+// discovery starts one for a process.
+func (s *site) discovery() string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("from") != "" {
+			<-r.Context().Done()
+			return
+		}
+		io.WriteString(w, s.list)
+	}))
+	s.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	s.away = append(s.away, func() {
+		server.Listener.Close()
+		server.CloseClientConnections()
+	})
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// discoveryAway ends discovery for all processes.
+func (s *site) discoveryAway() {
+	for _, away := range s.away {
+		away()
+	}
+}
+
 func (p *process) logged(what string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -49,6 +49,7 @@
 	draining atomic.Bool // for good
 	yielding atomic.Bool // while a newer process serves
 	adopted  sync.WaitGroup
+	expiry   atomic.Pointer[time.Timer] // of EndBy
 }
 
 // NewServer makes a server for at most limit connections at once: its listener sees to
@@ -88,10 +89,10 @@
 
 // EndBy says how long requests may still be read, since the process ends. Those of which
 // a part has come get the error of a request that is not whole in time.
-func (s *Server) EndBy(left time.Duration) (stop func() bool) {
+func (s *Server) EndBy(left time.Duration) {
 	at := time.Now().Add(left)
 	s.in.readBy.Store(&at)
-	return time.AfterFunc(left, s.in.expire).Stop
+	s.expiry.Store(time.AfterFunc(left, s.in.expire))
 }
 
 // Shutdown takes nothing more and waits for what it has taken. Connections without a request
@@ -103,6 +104,9 @@
 	err := s.http.ShutdownWithContext(ctx)
 	s.adopted.Wait() // each ends with its answer: its connection is closed behind it by now
 	s.in.wait()
+	if t := s.expiry.Load(); t != nil {
+		t.Stop()
+	}
 	return err
 }
 
