--- a/cmd/ashwood/main.go
+++ b/cmd/ashwood/main.go
@@ -24,6 +24,7 @@
 	"ashwood.example/ashwood/internal/config"
 	"ashwood.example/ashwood/internal/grpcfront"
 	"ashwood.example/ashwood/internal/handover"
+	"ashwood.example/ashwood/internal/listen"
 	"ashwood.example/ashwood/internal/platform"
 	"ashwood.example/ashwood/internal/reqlog"
 	"ashwood.example/ashwood/lifecycle"
@@ -275,7 +276,7 @@
 	if err != nil {
 		return front{}, fmt.Errorf("grpc: %w", err)
 	}
-	l = netutil.LimitListener(l, int(float64(cfg.Limits.Sockets)*grpcShare))
+	l = netutil.LimitListener(listen.Persistent(l, log), int(float64(cfg.Limits.Sockets)*grpcShare))
 	if err := r.Start(); err != nil {
 		return front{}, err
 	}
--- a/internal/grpcfront/server.go
+++ b/internal/grpcfront/server.go
@@ -214,7 +214,7 @@
 		left = float64(ms)
 	}
 	if deadline, ok := ctx.Deadline(); ok {
-		left = min(left, float64(deadline.UnixMicro())/1000-s.clock.Now())
+		left = min(left, clock.Millis(time.Until(deadline))) // not by the wall clock, which may be stepped
 	}
 	return &gateway.Request{Front: frontName, Client: clientAddr(ctx), Body: raw, Call: ashwood.Call{
 		ID: ashwood.RequestID(in.GetRequestId()), Class: in.GetClass(), Tenant: in.GetTenant(),
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -84,8 +84,9 @@
 }
 
 // accept takes the next connection, once there is room for it. A machine that has no
-// descriptor left is waited for: fasthttp would end the server. Without a limit, that and
-// all else is for whoever serves the listener.
+// descriptor left, or can't accept for another reason, is waited for: fasthttp would end the
+// server, and all requests with it. Without a limit, that and all else is for whoever serves
+// the listener.
 func (l *listener) accept() (net.Conn, error) {
 	for scarce := false; ; {
 		l.mu.Lock()
@@ -95,25 +96,32 @@
 		}
 		l.mu.Unlock()
 		nc, err := l.Listener.Accept()
-		if err == nil || l.most == 0 || !slices.ContainsFunc(scarcity, func(e error) bool { return errors.Is(err, e) }) {
+		if err == nil || l.most == 0 || errors.Is(err, net.ErrClosed) {
 			return nc, err
 		}
 		if !scarce {
 			scarce = true
 			l.log.Warn("a client's connection has to wait", "err", err)
 		}
-		l.mu.Lock()
-		var old *clientConn
-		var why string
-		if !l.cutOldest() {
-			old, why = l.least(time.Now())
+		if slices.ContainsFunc(scarcity, func(e error) bool { return errors.Is(err, e) }) {
+			l.makeRoom()
 		}
-		l.mu.Unlock()
-		l.turnBack(old, why)
 		time.Sleep(scarceWait)
 	}
 }
 
+// makeRoom closes the connection that is the first to go, for its descriptor.
+func (l *listener) makeRoom() {
+	l.mu.Lock()
+	var old *clientConn
+	var why string
+	if !l.cutOldest() {
+		old, why = l.least(time.Now())
+	}
+	l.mu.Unlock()
+	l.turnBack(old, why)
+}
+
 // scarcity is what the machine says when it has no descriptor or memory for a connection.
 var scarcity = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM}
 
--- a/internal/platform/crowd_test.go
+++ b/internal/platform/crowd_test.go
@@ -137,7 +137,7 @@
 		begun := time.Now()
 		near, silent := net.Pipe()
 		q.next <- near
-		for _, err := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS} {
+		for _, err := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ECONNABORTED, syscall.ENETDOWN, syscall.EPERM} {
 			q.next <- err
 		}
 		near, c := net.Pipe()
--- a/router/ending_test.go
+++ b/router/ending_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
+	"ashwood.example/ashwood/internal/clock"
+	"ashwood.example/ashwood/lifecycle"
 	"ashwood.example/ashwood/limits"
 )
 
@@ -49,3 +52,52 @@
 		t.Errorf("%v, %d held", err, f.holds())
 	}
 }
+
+// A router whose process ends takes nothing on from one time on, answers what waits by the
+// other, and tells engines no longer time than that.
+func TestEndBy_RefusesAndAnswersInTime(t *testing.T) {
+	f := newFleet()
+	f.reading = make(chan struct{})
+	c := clock.NewManual(10000)
+	r := start(t, f, Config{Known: boxes}, WithClock(c))
+	ended := make(chan error, 1)
+	go func() {
+		_, err := r.Do(context.Background(), request("waits", "order"))
+		ended <- err
+	}()
+	until(t, f, "read")
+	r.EndBy(lifecycle.Told(c.Now(), 30000))
+	r.EndBy(lifecycle.Told(c.Now()+2000, 30000)) // told again
+	c.Advance(600)
+	var refused *RefusedError
+	if _, err := r.Do(context.Background(), request("late", "order")); !errors.As(err, &refused) || !errors.Is(err, ErrShuttingDown) {
+		t.Errorf("a late request: %v", err)
+	}
+	if len(ended) > 0 {
+		t.Errorf("what waits has ended already: %v", <-ended)
+	}
+	in, err := advance(t, c, ended)
+	if !errors.As(err, &refused) || c.Now() > 10000+3700 { // nothing of it can have run
+		t.Errorf("what waits, %v ms on: %v", in, err)
+	}
+	closed := make(chan error, 1)
+	go func() { closed <- r.Close() }()
+	if advance(t, c, closed); f.sends["waits"]+f.sends["late"] != 0 || f.holds() != 0 {
+		t.Errorf("sent on %v, %d held", f.sends, f.holds())
+	}
+}
+
+// advance moves a clock on until something has come, and tells by how much.
+func advance(t *testing.T, c *clock.Manual, what chan error) (ms float64, err error) {
+	t.Helper()
+	for ; ms < 60000; ms += 50 {
+		select {
+		case err := <-what:
+			return ms, err
+		case <-time.After(time.Millisecond): // for who runs beside
+			c.Advance(50)
+		}
+	}
+	t.Fatal("nothing has come in a minute of the clock")
+	return ms, nil
+}
