--- a/cmd/ashwood/grpc_test.go
+++ b/cmd/ashwood/grpc_test.go
@@ -12,6 +12,7 @@
 	"io"
 	"math/big"
 	"net"
+	"os/exec"
 	"testing"
 	"time"
 
@@ -79,15 +80,32 @@
 
 // tryFront has the program route a call to a box with these settings.
 func tryFront(t *testing.T, operator string, creds credentials.TransportCredentials) {
+	_, cc := openFront(t, grpcBox{}, operator, creds)
+	s, err := ashwoodpb.NewInferenceClient(cc).Generate(context.Background(), &ashwoodpb.GenerateRequest{
+		RequestId: "q", Class: "send-order", PromptTokens: 64}, grpc.WaitForReady(true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if tok, err := s.Recv(); err != nil || tok.GetText() != "hello" {
+		t.Errorf("%v, %v", tok, err)
+	}
+	if _, err := s.Recv(); err != io.EOF {
+		t.Errorf("end %v", err)
+	}
+}
+
+// openFront starts the program with the gRPC front and a box of both roles, and a client of it.
+func openFront(t *testing.T, engine ashwoodpb.BoxServer, operator string, creds credentials.TransportCredentials) (*exec.Cmd, *grpc.ClientConn) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	box := grpc.NewServer(grpc.Creds(creds))
-	ashwoodpb.RegisterBoxServer(box, grpcBox{})
+	ashwoodpb.RegisterBoxServer(box, engine)
 	go box.Serve(l)
 	t.Cleanup(box.Stop)
-	_, _, front := start(t, configuration(discovery(t, `{"generation":1,"reset":true,"instances":[]}`), "null"), fmt.Sprintf(`
+	cmd, _, front := start(t, configuration(discovery(t, `{"generation":1,"reset":true,"instances":[]}`), "null"), fmt.Sprintf(`
 [grpc]
 listen = "127.0.0.1:0"
 [[grpc.boxes]]
@@ -103,16 +121,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer cc.Close()
-	s, err := ashwoodpb.NewInferenceClient(cc).Generate(context.Background(), &ashwoodpb.GenerateRequest{
-		RequestId: "q", Class: "send-order", PromptTokens: 64}, grpc.WaitForReady(true))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if tok, err := s.Recv(); err != nil || tok.GetText() != "hello" {
-		t.Errorf("%v, %v", tok, err)
-	}
-	if _, err := s.Recv(); err != io.EOF {
-		t.Errorf("end %v", err)
-	}
+	t.Cleanup(func() { cc.Close() })
+	return cmd, cc
 }
