--- a/cmd/ashwood/site_test.go
+++ b/cmd/ashwood/site_test.go
@@ -137,11 +137,12 @@
 
 // process is one of a site's.
 type process struct {
-	t    *testing.T
-	cmd  *exec.Cmd
-	mgmt string
-	done chan struct{} // closed when it has ended
-	err  error         // then: how
+	t      *testing.T
+	cmd    *exec.Cmd
+	config string // the file
+	mgmt   string
+	done   chan struct{} // closed when it has ended
+	err    error         // then: how
 
 	mu  sync.Mutex
 	log bytes.Buffer
@@ -160,8 +161,8 @@
 	if s.deadline > 0 {
 		config = deadlines.ReplaceAllString(config, fmt.Sprintf(`"deadline":%d`, s.deadline))
 	}
-	p := &process{t: s.t, cmd: exec.Command(program), done: make(chan struct{})}
-	p.cmd.Env = []string{"ROUTER_CONFIG=" + write(s.t, "config.json", config), "TMPDIR=" + s.tmp, "ASHWOOD_LOG=debug"}
+	p := &process{t: s.t, cmd: exec.Command(program), config: write(s.t, "config.json", config), done: make(chan struct{})}
+	p.cmd.Env = []string{"ROUTER_CONFIG=" + p.config, "TMPDIR=" + s.tmp, "ASHWOOD_LOG=debug"}
 	out, err := p.cmd.StderrPipe()
 	if err != nil {
 		s.t.Fatal(err)
--- a/cmd/ashwood/trouble_test.go
+++ b/cmd/ashwood/trouble_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -65,6 +67,11 @@
 		}
 	}},
 	{name: "told while it is stopped", stops: 1200 * time.Millisecond},
+	{name: "a crowd that says nothing", before: func(s *site, _ *process) {
+		for range 300 {
+			s.raw()
+		}
+	}},
 	{name: "discovery is away", before: func(s *site, _ *process) { s.discoveryAway() }},
 }
 
@@ -208,3 +215,29 @@
 	s.whole(r)
 	s.once(1)
 }
+
+// A new configuration that comes while the process ends is still read: what was taken goes on,
+// and engines still drain.
+func TestShutdown_NewConfigurationIsRead(t *testing.T) {
+	s := newSite(t)
+	p := s.begin().ready()
+	waiting := s.waiting("streams", 1)
+	d := p.stop()
+	d.follow("streams-0", waiting["streams-0"])
+	until(t, "that it is told to end", func() bool { return p.logged("shutdown: told to end") })
+	config, err := os.ReadFile(p.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	moved := discoveryKey.ReplaceAll(config, fmt.Appendf(nil, `"discovery":%q`, s.discovery()))
+	if err := os.WriteFile(p.config, moved, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	until(t, "that discovery has moved", func() bool { return p.logged("discovery: moved") })
+	close(s.step)
+	d.settled(d.kill())
+	s.once(1)
+}
+
+var discoveryKey = regexp.MustCompile(`"discovery":"127[^"]*"`)
