--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -1,5 +1,5 @@
 // Package lifecycle decides how a router starts, stops and who is in it
-// meanwhile: whether a request may enter, when the wait for those inside is over,
+// meanwhile: whether a request may enter, when the wait for the active ones is over,
 // and what is to be done with those who are still there then.
 //
 // It is pure: events and the time go in, and what to do comes out. It has no
@@ -20,9 +20,9 @@
 	New      Phase = iota + 1 // made, not started
 	Running                   // takes requests
 	Draining                  // still takes them, and sends clients elsewhere
-	Stopping                  // takes none; those inside may finish
-	Ending                    // those inside are being ended
-	Stopped                   // nothing is inside
+	Stopping                  // takes none; active ones may finish
+	Ending                    // active ones are being ended
+	Stopped                   // none is active
 )
 
 // String names a phase.
@@ -53,7 +53,7 @@
 // Times of a stop, in ms.
 type Times struct {
 	Drain  float64 // how long requests are still taken once clients are sent elsewhere
-	Grace  float64 // how long those inside may take after that; Inf = until they have ended
+	Grace  float64 // how long active requests may take after that; Inf = until they have ended
 	Settle float64 // how long those that were ended may take to let go of what they hold
 }
 
@@ -62,12 +62,12 @@
 	Tell     bool    // send clients elsewhere (once, when draining begins)
 	Refuse   bool    // admit nobody any more (once, when stopping begins)
 	End      []ID    // end these requests: their streams break, the others fail
-	Finished bool    // nothing is inside any more, or the time to settle is over
+	Finished bool    // no request is active any more, or the time to settle is over
 	Left     int     // with Finished: requests that did not let go in time
 	Next     float64 // time at which to ask again, +Inf for not before something happens
 }
 
-// ID names a request inside.
+// ID names an active request.
 type ID uint64
 
 // Machine is one router's life. It is used by one goroutine at a time.
@@ -77,21 +77,21 @@
 	until  float64 // the end of the phase that has one
 	life   Lifetime
 	next   ID
-	inside map[ID]Stage
-	order  []ID // of those inside, as they came; may hold some that have left
+	active map[ID]Stage
+	order  []ID // of the active ones, as they came; may hold some that have left
 	ended  map[ID]bool
 }
 
 // NewMachine makes a router's life, in phase New.
 func NewMachine() *Machine {
-	return &Machine{phase: New, until: math.Inf(1), life: Unlimited(), inside: map[ID]Stage{}, ended: map[ID]bool{}}
+	return &Machine{phase: New, until: math.Inf(1), life: Unlimited(), active: map[ID]Stage{}, ended: map[ID]bool{}}
 }
 
 // Phase is the present one.
 func (m *Machine) Phase() Phase { return m.phase }
 
-// Inside is the number of requests that have entered and not left.
-func (m *Machine) Inside() int { return len(m.inside) }
+// Active is the number of requests that have entered and not left.
+func (m *Machine) Active() int { return len(m.active) }
 
 // Start begins to take requests.
 func (m *Machine) Start() error {
@@ -125,7 +125,7 @@
 		return 0, ErrNotStarted
 	case Running, Draining:
 		m.next++
-		m.inside[m.next] = stage
+		m.active[m.next] = stage
 		m.order = append(m.order, m.next)
 		return m.next, nil
 	}
@@ -135,17 +135,17 @@
 // Began tells that a request's answer has begun. false means that it has been
 // ended, and nothing of it may be passed on any more.
 func (m *Machine) Began(id ID) bool {
-	if _, ok := m.inside[id]; !ok || m.ended[id] {
+	if _, ok := m.active[id]; !ok || m.ended[id] {
 		return false
 	}
-	m.inside[id] = Begun
+	m.active[id] = Begun
 	return true
 }
 
-// EndWaiting ends the requests inside whose answer has not begun, and gives them as they came.
+// EndWaiting ends the active requests whose answer has not begun, and gives them as they came.
 func (m *Machine) EndWaiting() (end []ID) {
 	for _, id := range m.order {
-		if stage, ok := m.inside[id]; ok && stage == Waiting && !m.ended[id] {
+		if stage, ok := m.active[id]; ok && stage == Waiting && !m.ended[id] {
 			m.ended[id] = true
 			end = append(end, id)
 		}
@@ -155,12 +155,12 @@
 
 // Leave tells that a request is over and holds nothing. Again, it does nothing.
 func (m *Machine) Leave(id ID) {
-	delete(m.inside, id)
+	delete(m.active, id)
 	delete(m.ended, id)
-	if len(m.order) > 2*len(m.inside)+16 {
+	if len(m.order) > 2*len(m.active)+16 {
 		rest := m.order[:0]
 		for _, id := range m.order {
-			if _, ok := m.inside[id]; ok {
+			if _, ok := m.active[id]; ok {
 				rest = append(rest, id)
 			}
 		}
@@ -198,18 +198,18 @@
 			do.Refuse = true
 		}
 	}
-	if m.phase == Stopping && (now >= m.until || len(m.inside) == 0) {
+	if m.phase == Stopping && (now >= m.until || len(m.active) == 0) {
 		m.phase, m.until = Ending, now+m.times.Settle
 		for _, id := range m.order {
-			if _, ok := m.inside[id]; ok {
+			if _, ok := m.active[id]; ok {
 				m.ended[id] = true
 				do.End = append(do.End, id)
 			}
 		}
 	}
-	if m.phase == Ending && (now >= m.until || len(m.inside) == 0) {
+	if m.phase == Ending && (now >= m.until || len(m.active) == 0) {
 		m.phase = Stopped
-		do.Left = len(m.inside)
+		do.Left = len(m.active)
 	}
 	switch m.phase {
 	case Draining, Stopping, Ending:
--- a/lifecycle/lifecycle_test.go
+++ b/lifecycle/lifecycle_test.go
@@ -46,7 +46,7 @@
 	m.Leave(a)
 	m.Leave(a)
 	m.Leave(late)
-	if do := m.Step(2000); do.Finished || m.Inside() != 1 {
+	if do := m.Step(2000); do.Finished || m.Active() != 1 {
 		t.Fatalf("one is inside: %+v", do)
 	}
 	m.Leave(b)
@@ -158,8 +158,8 @@
 					t.Fatalf("seed %d: %d left of %d", seed, do.Left, len(inside))
 				}
 			}
-			if m.Phase() < phase || m.Inside() != len(inside) {
-				t.Fatalf("seed %d: %s after %s, %d inside of %d", seed, m.Phase(), phase, m.Inside(), len(inside))
+			if m.Phase() < phase || m.Active() != len(inside) {
+				t.Fatalf("seed %d: %s after %s, %d inside of %d", seed, m.Phase(), phase, m.Active(), len(inside))
 			}
 			phase = m.Phase()
 		}
--- a/router/answer.go
+++ b/router/answer.go
@@ -71,11 +71,11 @@
 // gateway.Gateway. It is counted as this router's request from now on, whatever its limits.
 func (r *Router) Adopt(ctx context.Context, live gateway.Live, make func(context.Context, gateway.Transport) (gateway.Stream, error)) (gateway.Stream, error) {
 	vctx, cancel := context.WithCancelCause(ctx)
-	v := &visit{cancel: cancel}
+	v := &activeRequest{cancel: cancel}
 	r.mu.Lock()
 	id, err := r.life.Adopt()
 	if err == nil {
-		r.inside[id] = v
+		r.active[id] = v
 	}
 	r.mu.Unlock()
 	if err != nil {
@@ -90,13 +90,13 @@
 	return r.stream(vctx, id, live.Class, inner), nil
 }
 
-// EndWaiting ends the requests inside whose answer has not begun; what is held for them is
+// EndWaiting ends the active requests whose answer has not begun; what is held for them is
 // let go of. Answers that have begun go on.
 func (r *Router) EndWaiting() {
 	r.mu.Lock()
 	var end []context.CancelCauseFunc
 	for _, id := range r.life.EndWaiting() {
-		end = append(end, r.inside[id].cancel)
+		end = append(end, r.active[id].cancel)
 	}
 	r.mu.Unlock()
 	for _, cancel := range end {
--- a/router/router.go
+++ b/router/router.go
@@ -69,7 +69,7 @@
 	mu      sync.Mutex
 	life    *lifecycle.Machine
 	limit   *limits.Limiter
-	inside  map[lifecycle.ID]*visit
+	active  map[lifecycle.ID]*activeRequest
 	endings []func() bool // timers of EndBy
 	changed chan struct{} // something is to be looked at by the stop
 	once    sync.Once     // begins the stop
@@ -78,8 +78,8 @@
 	left    int           // of them, those that did not let go in time
 }
 
-// visit is a request in the house.
-type visit struct {
+// activeRequest is a request that has been admitted and has not ended.
+type activeRequest struct {
 	ticket limits.Ticket
 	cancel context.CancelCauseFunc
 }
@@ -145,7 +145,7 @@
 	}
 	r := &Router{
 		cfg: cfg, gw: gw, transport: t, sources: o.sources, clock: o.clock, log: o.log, drained: o.drained, refused: o.refused,
-		life: lifecycle.NewMachine(), limit: limit, inside: map[lifecycle.ID]*visit{}, changed: make(chan struct{}, 1), done: make(chan struct{}),
+		life: lifecycle.NewMachine(), limit: limit, active: map[lifecycle.ID]*activeRequest{}, changed: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r, nil
@@ -204,11 +204,11 @@
 	}
 }
 
-// InFlight is the number of requests in the house.
+// InFlight is the number of requests admitted and not ended.
 func (r *Router) InFlight() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.life.Inside()
+	return r.life.Active()
 }
 
 // Pause is how long in ms a client is to stay away that a front refuses by
@@ -281,8 +281,8 @@
 	return reqlog.Change{ID: string(req.ID), Class: req.Class, State: state, Left: req.Remaining, Reason: reason}
 }
 
-// enter asks for a place in the house.
-func (r *Router) enter(req *gateway.Request) (lifecycle.ID, *visit, error) {
+// enter admits a request, or tells why not.
+func (r *Router) enter(req *gateway.Request) (lifecycle.ID, *activeRequest, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	id, err := r.life.Enter(r.clock.Now())
@@ -296,8 +296,8 @@
 		r.life.Leave(id)
 		return 0, nil, err
 	}
-	v := &visit{ticket: ticket, cancel: func(error) {}}
-	r.inside[id] = v
+	v := &activeRequest{ticket: ticket, cancel: func(error) {}}
+	r.active[id] = v
 	return id, v, nil
 }
 
@@ -305,11 +305,11 @@
 func (r *Router) leave(id lifecycle.ID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	v := r.inside[id]
+	v := r.active[id]
 	if v == nil {
 		return
 	}
-	delete(r.inside, id)
+	delete(r.active, id)
 	r.life.Leave(id)
 	r.limit.Leave(r.clock.Now(), &v.ticket)
 	v.cancel(nil)
--- a/router/stop.go
+++ b/router/stop.go
@@ -15,7 +15,7 @@
 const settleMs = 2500.0
 
 // Shutdown stops the router: for DrainMs requests are still taken, then new ones
-// are refused with a time to return, and those inside finish. When ctx ends
+// are refused with a time to return, and active ones finish. When ctx ends
 // first, they are ended: streams break, requests without an answer fail. What is
 // held for them is let go of at every engine before Shutdown returns. The error
 // tells that requests had to be ended, with the cause of ctx.
@@ -36,7 +36,7 @@
 	return r.verdict(context.Cause(ctx))
 }
 
-// Close stops the router at once: requests inside are ended.
+// Close stops the router at once: active requests are ended.
 func (r *Router) Close() error {
 	r.stop(lifecycle.Times{Settle: settleMs})
 	<-r.done
@@ -90,7 +90,7 @@
 		do := r.life.Step(r.clock.Now())
 		var end []context.CancelCauseFunc
 		for _, id := range do.End {
-			end = append(end, r.inside[id].cancel)
+			end = append(end, r.active[id].cancel)
 		}
 		r.ended += len(end)
 		r.mu.Unlock()
