Count what a shutdown refuses and gives up in its log

Two lines of level info tell how many requests came late and how many had no answer when the time was up: an operator sees without debug logs what a restart did. One record each tells which. The test of waiting requests wants the counts.

--- a/cmd/ashwood/shutdown_test.go
+++ b/cmd/ashwood/shutdown_test.go
@@ -172,6 +172,9 @@
 	}
 	results := d.kill()
 	d.settled(results)
+	if want := fmt.Sprintf("refused_late=0 given_up=%d active=0", requests); !p.logged(want) {
+		t.Errorf("the log does not tell %q", want)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, o := range results {
--- a/router/answer.go
+++ b/router/answer.go
@@ -99,6 +99,7 @@
 		end = append(end, r.active[id].cancel)
 	}
 	r.mu.Unlock()
+	r.logCounts("shutdown: the time to answer is over")
 	for _, cancel := range end {
 		cancel(ErrShuttingDown)
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -74,6 +74,8 @@
 	changed chan struct{} // something is to be looked at by the stop
 	once    sync.Once     // begins the stop
 	done    chan struct{} // closed when it is over
+	late    int           // requests refused because the process ends
+	gaveUp  int           // requests whose answer had not begun when the process's time was up
 	ended   int           // requests that the stop had to end
 	left    int           // of them, those that did not let go in time
 }
@@ -245,6 +247,7 @@
 	case errors.As(err, &refusal):
 		return gateway.Reply{Kind: gateway.Refused, RetryAfter: refusal.RetryAfter, Err: err}, nil
 	case errors.Is(err, lifecycle.ErrStopping):
+		r.count(&r.late)
 		return gateway.Reply{Kind: gateway.Refused, RetryAfter: r.gw.Pause(), Err: ErrShuttingDown}, nil
 	case err != nil:
 		return gateway.Reply{}, fmt.Errorf("router: %w", err)
@@ -268,14 +271,24 @@
 		return gateway.Reply{Kind: gateway.Failed, Err: ErrShuttingDown}, nil
 	}
 	ended := errors.Is(context.Cause(vctx), ErrShuttingDown)
+	if ended || reply.Why == ashwood.WhyEnding {
+		r.count(&r.gaveUp)
+		reqlog.Write(r.log, change(req, reqlog.Ended, "the process's time to answer is up"))
+	}
 	r.leave(id)
 	if ended && reply.Kind == gateway.Gone {
-		reqlog.Write(r.log, change(req, reqlog.Ended, ErrShuttingDown.Error()))
 		reply = r.unanswered(req.Class)
 	}
 	return reply, err
 }
 
+// count adds one to a count of the router's.
+func (r *Router) count(n *int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	*n++
+}
+
 // change is a record of what has become of a request.
 func change(req *gateway.Request, state reqlog.State, reason string) reqlog.Change {
 	return reqlog.Change{ID: string(req.ID), Class: req.Class, State: state, Left: req.Remaining, Reason: reason}
--- a/router/stop.go
+++ b/router/stop.go
@@ -71,6 +71,13 @@
 // decisions have not ended: those of an engine's attempts that can't be called off.
 const endAnyway = 100.0
 
+// logCounts logs what a shutdown has done to requests so far.
+func (r *Router) logCounts(message string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.log.Info(message, "refused_late", r.late, "given_up", r.gaveUp, "active", r.life.Active())
+}
+
 // stop begins a stop, or makes one shorter that goes on.
 func (r *Router) stop(t lifecycle.Times) {
 	r.mu.Lock()
@@ -108,6 +115,7 @@
 			r.mu.Lock()
 			r.left = do.Left
 			r.mu.Unlock()
+			r.logCounts("shutdown: the router is empty")
 			break
 		}
 		due := make(chan struct{})
