--- a/cmd/ashwood/notice.go
+++ b/cmd/ashwood/notice.go
@@ -54,10 +54,7 @@
 	go func() {
 		select {
 		case <-signals:
-			for _, f := range n.tell() {
-				f()
-			}
-			cancel()
+			n.hear(cancel)
 		case <-ctx.Done():
 		}
 	}()
@@ -68,6 +65,14 @@
 	}
 }
 
+// hear takes a signal in: whoever promises anything knows of it before anybody else.
+func (n *notice) hear(end context.CancelFunc) {
+	for _, f := range n.tell() {
+		f()
+	}
+	end()
+}
+
 func newNotice(ctx context.Context, c clock.Clock) *notice {
 	n := &notice{Context: ctx, clock: c, last: c.Now(), told: math.Inf(1)}
 	n.stop = c.AfterFunc(beatEvery, n.beat)
--- a/cmd/ashwood/notice_test.go
+++ b/cmd/ashwood/notice_test.go
@@ -7,6 +7,7 @@
 
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/internal/clock"
+	"ashwood.example/ashwood/lifecycle"
 )
 
 // A signal counts from when it may have been sent: one that comes as the process goes on
@@ -48,3 +49,26 @@
 		n.close()
 	}
 }
+
+// Those who promise anything know what the process has left to live before anybody sees that
+// it is told, and at once if they come later.
+func TestNotice_SubscribersHearFirst(t *testing.T) {
+	set := ashwood.Settings{Classes: []ashwood.Class{{Deadline: 15 * time.Second}}}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := newNotice(ctx, clock.NewManual(10000))
+	defer n.close()
+	var early, late float64
+	n.subscribe(set, func(l lifecycle.Lifetime) {
+		if early = l.AnswerBy; n.Err() != nil {
+			t.Error("told to all before those who promise")
+		}
+	})
+	if early != 0 {
+		t.Error("told without a signal")
+	}
+	n.hear(cancel)
+	n.subscribe(set, func(l lifecycle.Lifetime) { late = l.AnswerBy })
+	if n.Err() == nil || early != 13000 || late != 13000 {
+		t.Errorf("%v, answers by %v and %v", n.Err(), early, late)
+	}
+}
