--- a/cmd/ashwood/shutdown_test.go
+++ b/cmd/ashwood/shutdown_test.go
@@ -93,6 +93,29 @@
 	d.results[id] = o
 }
 
+// lateClients are pairs of connections: one that has brought nothing, and one that has brought
+// all of a request but its last byte.
+func (s *site) lateClients(pairs int) [][2]*raw {
+	s.t.Helper()
+	clients := make([][2]*raw, pairs)
+	for i := range clients {
+		clients[i] = [2]*raw{s.raw(), s.raw()}
+		text := orderText(fmt.Sprint("half-", i))
+		clients[i][1].write(text[:len(text)-1])
+	}
+	return clients
+}
+
+// writeLate has them write the rest, a pair every so often, once that counts by the rules.
+func (d *shutdown) writeLate(clients [][2]*raw, every time.Duration) {
+	for i, c := range clients {
+		after := exemptFor + 50*time.Millisecond + time.Duration(i)*every
+		id := fmt.Sprint("silent-", i)
+		d.at(after, id, c[0], orderText(id))
+		d.at(after, fmt.Sprint("half-", i), c[1], "}")
+	}
+}
+
 // kill ends the process as the platform does, waits for its clients, and gives what they saw.
 func (d *shutdown) kill() map[string]outcome {
 	d.t.Helper()
@@ -129,19 +152,9 @@
 				s.reads = make(chan struct{})
 			}
 			p := s.begin().ready()
-			silent, half := make([]*raw, 12), make([]*raw, 12)
-			for i := range silent {
-				silent[i], half[i] = s.raw(), s.raw()
-				text := orderText(fmt.Sprint("half-", i))
-				half[i].write(text[:len(text)-1])
-			}
+			late := s.lateClients(12)
 			d := p.stop()
-			for i := range silent {
-				after := exemptFor + 100*time.Millisecond + time.Duration(i)*150*time.Millisecond
-				id := fmt.Sprint("silent-", i)
-				d.at(after, id, silent[i], orderText(id))
-				d.at(after, fmt.Sprint("half-", i), half[i], "}")
-			}
+			d.writeLate(late, 150*time.Millisecond)
 			results := d.kill()
 			d.settled(results)
 			s.mu.Lock()
--- a/cmd/ashwood/trouble_test.go
+++ b/cmd/ashwood/trouble_test.go
@@ -138,12 +138,7 @@
 func playTrouble(t *testing.T, s *site, trouble trouble, streams bool) {
 	p := s.begin().ready()
 	waiting := s.waiting("waits", 3)
-	silent, half := make([]*raw, 5), make([]*raw, 5)
-	for i := range silent {
-		silent[i], half[i] = s.raw(), s.raw()
-		text := orderText(fmt.Sprint("half-", i))
-		half[i].write(text[:len(text)-1])
-	}
+	late := s.lateClients(5)
 	r, err := client(t).Get("http://" + s.listen + "/-/ready") // those before it have been accepted then
 	if err != nil || r.StatusCode != http.StatusOK {
 		t.Fatalf("%v, %v", r, err)
@@ -168,12 +163,7 @@
 	for id, c := range waiting {
 		d.follow(id, c)
 	}
-	for i := range silent {
-		after := exemptFor + 50*time.Millisecond + time.Duration(i)*400*time.Millisecond
-		id := fmt.Sprint("silent-", i)
-		d.at(after, id, silent[i], orderText(id))
-		d.at(after, fmt.Sprint("half-", i), half[i], "}")
-	}
+	d.writeLate(late, 400*time.Millisecond)
 	results := d.kill()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/platform/ending_test.go
+++ b/internal/platform/ending_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -136,7 +137,16 @@
 		synctest.Wait() // it has been read
 		s.Drain()
 		stopped := make(chan error, 1)
-		go func() { stopped <- s.Shutdown(context.Background()) }()
+		go func() {
+			defer close(stopped)
+			stopped <- s.Shutdown(context.Background())
+		}()
+		defer func() { // or the next shutdown, at the test's end, would wait for this one outside of the bubble's time
+			c.Close()
+			for range stopped {
+				continue
+			}
+		}()
 		synctest.Wait()
 		close(stream.end)
 		if body, err := io.ReadAll(first.Body); string(body) != event1 || err != nil {
@@ -158,3 +168,38 @@
 		}
 	})
 }
+
+// Behind a body in chunks nothing was sent ahead, although its bytes on the wire are more than
+// those of the request: the client sees its answer and the end, no refusal.
+func TestShutdown_ChunkedBodyIsNotSentAhead(t *testing.T) {
+	new(fasthttp.ResponseHeader).Header() // as above
+	synctest.Test(t, func(t *testing.T) {
+		stream := &pausedStream{end: make(chan struct{})}
+		q, s, _ := quiet(t, says{gateway.Reply{Kind: gateway.Served, Stream: stream}}, 8)
+		near, c := net.Pipe()
+		q.next <- near
+		defer c.Close()
+		text := strings.Replace(request("chat", "", "{}"), "Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", 1)
+		io.WriteString(c, strings.TrimSuffix(text, "{}")+"2\r\n{}\r\n0\r\n\r\n")
+		in := bufio.NewReader(c)
+		r, err := http.ReadResponse(in, nil)
+		if err != nil || r.StatusCode != http.StatusOK || r.Close {
+			t.Fatalf("%v, %v", r, err)
+		}
+		s.Drain()
+		stopped := make(chan error, 1)
+		go func() { stopped <- s.Shutdown(context.Background()) }()
+		synctest.Wait()
+		close(stream.end)
+		if body, err := io.ReadAll(r.Body); string(body) != event1 || err != nil {
+			t.Errorf("%q, %v", body, err)
+		}
+		if rest, err := io.ReadAll(in); len(rest) > 0 || err != nil {
+			t.Errorf("behind the answer: %q, %v", rest, err)
+		}
+		c.Close()
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+	})
+}
