Record what engines hold for requests, and which engines have gone silent

Change: at the usual level, an engine that leaves three calls in a row without an answer and its return; at debug, each hold's begin and end with engine, reason and time; metrics for holds open, the oldest's age, and ends by reason. Nothing is decided by them.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,8 @@
 	holdTime  float64        // ms in which what is held must be taken; 0 = not told
 	beside    sync.WaitGroup // what runs beside requests: places, releases, probes
 	owner     *owner         // of what is held and wanted no more
+	live      *liveness
+	holdLog   *holdLog
 	metrics   *metrics.Set
 	pulses    pulses // of engines with answers open
 }
@@ -47,6 +49,7 @@
 		names[i] = class.Name
 	}
 	g.metrics = metrics.New(names)
+	g.live, g.holdLog = newLiveness(log, c), newHoldLog(log, c, g.metrics)
 	g.owner = newOwner(g, set, seed)
 	var err error
 	g.router, err = ashwood.NewRouter(set, seed, c, func(v ashwood.Server) { g.spawn(func() { g.probe(v) }) })
@@ -98,6 +101,9 @@
 // who gives the answers.
 func (g *Gateway) Metrics() *metrics.Set { return g.metrics }
 
+// Holds tells how many holds engines may have for requests, and for how many ms the oldest has stood.
+func (g *Gateway) Holds() (open int, oldest float64) { return g.holdLog.figures() }
+
 // Engines counts the engines in the list and those avoided now; see ashwood.Router.
 func (g *Gateway) Engines() (listed, avoided int) { return g.router.Engines() }
 
@@ -155,7 +161,7 @@
 			if answered(ans.Status) {
 				g.owner.heard(step.Engine)
 			} else if ans.Status != ashwood.NotSent && ans.Status != ashwood.CalledOff {
-				g.owner.unheard(step.Engine.ID)
+				g.owner.unheard(step.Engine.ID, "attempt")
 			}
 			if ans.Err != nil {
 				last = ans.Err
@@ -289,13 +295,14 @@
 		}
 		if place == PlaceUnknown && ctx.Err() != nil { // given up; an answer that tells nothing ends the call
 			h.doubt()
+			g.live.unanswered(v.ID, "reservation")
 		}
 		switch {
 		case place != PlaceHeld && place != PlaceUnknown:
 		case reading.Err() != nil:
 			h.addLate(v)
 		default:
-			h.add(v)
+			h.add(v, holdReservation)
 		}
 		if place == PlaceUnknown || place == PlaceUnasked {
 			return
@@ -323,7 +330,7 @@
 	if status == ashwood.Served {
 		g.owner.heard(v)
 	} else {
-		g.owner.unheard(v.ID)
+		g.owner.unheard(v.ID, "probe")
 	}
 	g.log.Debug("probe", "engine", v.ID, "kind", v.Kind, "status", status, "ms", g.clock.Now()-begun, "report", report)
 	g.router.Probed(v.ID, status, report)
--- a/gateway/holds.go
+++ b/gateway/holds.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"ashwood.example/ashwood"
+	"ashwood.example/ashwood/internal/metrics"
+	"ashwood.example/ashwood/internal/release"
 )
 
 // holds are the engines that may hold a state or a place for a request that still
@@ -54,7 +56,7 @@
 	h.stop()
 	h.due = math.Inf(1)
 	h.mu.Unlock()
-	h.add(v)
+	h.add(v, holdAttempt)
 }
 
 // overdue lets go of what has been held for as long as it may. It comes before a send
@@ -74,20 +76,26 @@
 }
 
 // add notes an engine. After the final answer it is to be told at once.
-func (h *holds) add(v ashwood.Server) {
+func (h *holds) add(v ashwood.Server, why holdReason) {
 	h.mu.Lock()
 	over, doubtful, told := h.over, h.doubtful, h.told
 	if !over {
 		h.engines[v.ID] = v
 	}
 	h.mu.Unlock()
+	if !over {
+		h.owner.withdraw(h.id, v.ID, told)
+	}
+	h.owner.g.holdLog.began(h.key(v.ID), why)
 	if over {
 		h.owner.tell(h.id, []ashwood.Server{v}, doubtful)
-	} else {
-		h.owner.withdraw(h.id, v.ID, told)
 	}
 }
 
+func (h *holds) key(engine ashwood.ServerID) release.Key {
+	return release.Key{Engine: engine, Request: h.id}
+}
+
 // doubt tells that an attempt or a call for a place was given up: its engine may
 // see that only after a release.
 func (h *holds) doubt() {
@@ -107,9 +115,10 @@
 	}
 	h.mu.Unlock()
 	if begun {
+		h.owner.g.holdLog.began(h.key(v.ID), holdReservation)
 		h.owner.tell(h.id, []ashwood.Server{v}, doubtful)
 	} else {
-		h.add(v)
+		h.add(v, holdReservation)
 	}
 }
 
@@ -119,7 +128,11 @@
 	late, doubtful := h.late, h.doubtful
 	h.begun, h.late, h.told = true, nil, nil
 	h.stop()
+	taken := slices.Collect(maps.Keys(h.engines))
 	h.mu.Unlock()
+	for _, engine := range taken {
+		h.owner.g.holdLog.ended(h.key(engine), metrics.HoldTaken)
+	}
 	h.owner.tell(h.id, late, doubtful)
 }
 
--- a/gateway/holds_test.go
+++ b/gateway/holds_test.go
@@ -29,7 +29,7 @@
 func held(g *Gateway, id ashwood.RequestID, engines ...ashwood.ServerID) *holds {
 	h := g.owner.holds(id)
 	for _, id := range engines {
-		h.add(ashwood.Server{ID: id})
+		h.add(ashwood.Server{ID: id}, holdAttempt)
 	}
 	return h
 }
@@ -89,7 +89,7 @@
 				t.Errorf("the request waited %v", d)
 			}
 			if back {
-				h.add(ashwood.Server{ID: "r1"})
+				h.add(ashwood.Server{ID: "r1"}, holdAttempt)
 			}
 			p.hear("r1")
 			if !back {
@@ -147,7 +147,7 @@
 		}
 		g.Update(ashwood.ListPatch, []ashwood.Server{{ID: "w1", Kind: "w", State: ashwood.StateOff}})
 		h := held(g, "q")
-		h.add(ashwood.Server{ID: "r1", Zone: "cut"})
+		h.add(ashwood.Server{ID: "r1", Zone: "cut"}, holdAttempt)
 		h.release(true)
 		if d := p.wantNext(t, "w6"); d > 2*releaseWait*time.Millisecond {
 			t.Errorf("told after %v", d)
@@ -208,7 +208,7 @@
 	for name, late := range map[string]func(*holds, ashwood.Server){
 		"told after the begin": func(h *holds, v ashwood.Server) { h.begin(); h.addLate(v) },
 		"told before it":       func(h *holds, v ashwood.Server) { h.addLate(v); h.begin() },
-		"told after the end":   func(h *holds, v ashwood.Server) { h.release(true); h.add(v) },
+		"told after the end":   func(h *holds, v ashwood.Server) { h.release(true); h.add(v, holdReservation) },
 	} {
 		p := &peer{silent: map[ashwood.ServerID]int{"w1": 1e6}}
 		in(t, p, func(t *testing.T, g *Gateway) {
@@ -255,7 +255,7 @@
 		h.doubt()
 		h.release(false)
 		p.wantNext(t, "r1")
-		h.add(ashwood.Server{ID: "r2"})
+		h.add(ashwood.Server{ID: "r2"}, holdAttempt)
 		time.Sleep(time.Second)
 		if len(p.freed) > 0 {
 			t.Error("told again while what is sent since may be held")
--- /dev/null
+++ b/gateway/liveness_test.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"ashwood.example/ashwood"
+	"ashwood.example/ashwood/internal/clock"
+	"ashwood.example/ashwood/internal/metrics"
+	"ashwood.example/ashwood/internal/release"
+)
+
+// At the usual level an operator sees an engine go silent and come back, once each, whatever
+// number of calls it leaves without an answer, and nothing of one that misses a single one.
+func TestLiveness_SilentAndHeardAgain(t *testing.T) {
+	var text bytes.Buffer
+	l := newLiveness(slog.New(slog.NewTextHandler(&text, nil)), clock.NewManual(0))
+	l.unanswered("once", "probe")
+	l.answered("once")
+	for range 5 * silentAfter {
+		l.unanswered("w1", "attempt")
+	}
+	l.answered("w1")
+	l.answered("w1")
+	for line, want := range map[string]int{"engine silent": 1, "engine heard again": 1, "engine=w1": 2, "once": 0} {
+		if got := strings.Count(text.String(), line); got != want {
+			t.Errorf("%q is logged %d times, want %d:\n%s", line, got, want, text.String())
+		}
+	}
+	if len(l.engines) > 0 {
+		t.Errorf("left: %v", l.engines)
+	}
+}
+
+// A hold is counted from its begin to its end, with the age of the oldest, and ends once.
+func TestHoldLog_Figures(t *testing.T) {
+	c, set := clock.NewManual(0), metrics.New(nil)
+	l := newHoldLog(slog.New(slog.DiscardHandler), c, set)
+	key := func(id string) release.Key { return release.Key{Engine: "r1", Request: ashwood.RequestID(id)} }
+	l.began(key("a"), holdAttempt)
+	c.Advance(300)
+	l.began(key("b"), holdReservation)
+	l.began(key("a"), holdReservation) // it is held already
+	if open, oldest := l.figures(); open != 2 || oldest != 300 {
+		t.Errorf("%d holds, the oldest for %v ms", open, oldest)
+	}
+	l.ended(key("a"), metrics.HoldTaken)
+	l.ended(key("a"), metrics.HoldReleased)
+	if open, oldest := l.figures(); open != 1 || oldest != 0 {
+		t.Errorf("%d holds, the oldest for %v ms", open, oldest)
+	}
+	var text strings.Builder
+	if err := set.Statsd(&text, "app", metrics.Gauges{Holds: 1, OldestHold: 2.4}); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"app.holds_ended.taken:1|c", "app.holds_ended.released:0|c", "app.holds_open:1|g", "app.holds_oldest_ms:2|g"} {
+		if !strings.Contains(text.String(), want+"\n") {
+			t.Errorf("%s is not in\n%s", want, text.String())
+		}
+	}
+}
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -12,6 +12,7 @@
 
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/internal/clock"
+	"ashwood.example/ashwood/internal/metrics"
 	"ashwood.example/ashwood/internal/release"
 )
 
@@ -108,6 +109,7 @@
 		}
 		if v.State == ashwood.StateOff {
 			o.ledger.Left(v.ID)
+			o.g.live.forget(v.ID)
 		}
 	}
 	if form == ashwood.ListWhole {
@@ -155,8 +157,22 @@
 	}
 }
 
+// holdEnd is what the end of a release means for what was held.
+func holdEnd(e release.End) metrics.HoldEnd {
+	switch e {
+	case release.Made:
+		return metrics.HoldReleased
+	case release.Withdrawn:
+		return metrics.HoldResent
+	case release.Restarted:
+		return metrics.HoldRestarted
+	}
+	return metrics.HoldGivenUp
+}
+
 // report logs how a release has ended, where not as on any day.
 func (o *owner) report(e release.Ended) {
+	o.g.holdLog.ended(e.Key, holdEnd(e.End))
 	switch e.End {
 	case release.TooOld, release.Crowded:
 		o.g.log.Warn("release given up", // the engine may go on holding something
@@ -188,7 +204,7 @@
 	if err == nil {
 		o.heard(v)
 	} else if context.Cause(ctx) != errWithdrawn {
-		o.unheard(v.ID)
+		o.unheard(v.ID, "release")
 	}
 	o.g.log.Debug("release", "id", id, "engine", v.ID, "try", n, "ms", o.g.clock.Now()-begun, "err", err)
 	return err
@@ -196,6 +212,7 @@
 
 // heard tells of an engine that has answered something.
 func (o *owner) heard(v ashwood.Server) {
+	o.g.live.answered(v.ID)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for i, old := range o.recent {
@@ -212,8 +229,9 @@
 	o.recent[0] = v
 }
 
-// unheard tells of an engine that has not answered.
-func (o *owner) unheard(id ashwood.ServerID) {
+// unheard tells of an engine that has not answered a call of some kind.
+func (o *owner) unheard(id ashwood.ServerID, call string) {
+	o.g.live.unanswered(id, call)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.recent = slices.DeleteFunc(o.recent, func(v ashwood.Server) bool { return v.ID == id })
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -19,12 +19,31 @@
 	ends
 )
 
+// HoldEnd is why an engine no longer holds KV state or a reservation for a request.
+type HoldEnd int
+
+// The ends of holds.
+const (
+	HoldTaken     HoldEnd = iota // the answer has begun, with which all that is held goes
+	HoldReleased                 // an engine that runs has answered the release
+	HoldResent                   // the request was sent to that engine again, and may hold anew
+	HoldRestarted                // the engine has started anew, or is gone
+	HoldGivenUp                  // a bound on releases was met: the engine may go on holding
+	holdEnds
+)
+
+// String names an end in metrics and logs.
+func (e HoldEnd) String() string {
+	return []string{"taken", "released", "resent", "restarted", "given_up"}[e]
+}
+
 // Set holds the counts of one router since its start, by class of requests. What is of no
 // known class is counted nowhere, nor is what never became a request (a framing or a field
 // that can't be read): it has no class that could be believed.
 type Set struct {
-	names   []string
-	classes map[string]*class
+	names    []string
+	classes  map[string]*class
+	holdEnds [holdEnds]atomic.Uint64
 }
 
 type class struct {
@@ -57,11 +76,20 @@
 	}
 }
 
+// HoldEnded counts the end of a hold.
+func (s *Set) HoldEnded(how HoldEnd) {
+	if how >= 0 && how < holdEnds {
+		s.holdEnds[how].Add(1)
+	}
+}
+
 // Gauges are the values of this moment.
 type Gauges struct {
-	Open    int // requests taken and not ended
-	Listed  int // engines in the list
-	Avoided int // of them, those that the decisions avoid now
+	Open       int     // requests taken and not ended
+	Listed     int     // engines in the list
+	Avoided    int     // of them, those that the decisions avoid now
+	Holds      int     // what engines may hold for requests, as far as this process knows
+	OldestHold float64 // ms for which the oldest of them has stood
 }
 
 // Statsd writes all metrics in the form name:value|kind, one a line, names behind
@@ -86,5 +114,19 @@
 	if err != nil {
 		return fmt.Errorf("metrics: %w", err)
 	}
+	return s.holds(w, prefix, g)
+}
+
+// holds writes the figures of held state.
+func (s *Set) holds(w io.Writer, prefix string, g Gauges) error {
+	for how := range holdEnds {
+		if _, err := fmt.Fprintf(w, "%s.holds_ended.%s:%d|c\n", prefix, how, s.holdEnds[how].Load()); err != nil {
+			return fmt.Errorf("metrics: %w", err)
+		}
+	}
+	_, err := fmt.Fprintf(w, "%s.holds_open:%d|g\n%s.holds_oldest_ms:%.0f|g\n", prefix, g.Holds, prefix, g.OldestHold)
+	if err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
 	return nil
 }
--- a/router/router.go
+++ b/router/router.go
@@ -192,7 +192,10 @@
 // line, for operators; see the package metrics for what counts when.
 func (r *Router) Vars(w io.Writer) error {
 	listed, avoided := r.gw.Engines()
-	return r.gw.Metrics().Statsd(w, varsPrefix, metrics.Gauges{Open: r.InFlight(), Listed: listed, Avoided: avoided})
+	holds, oldest := r.gw.Holds()
+	return r.gw.Metrics().Statsd(w, varsPrefix, metrics.Gauges{
+		Open: r.InFlight(), Listed: listed, Avoided: avoided, Holds: holds, OldestHold: oldest,
+	})
 }
 
 const varsPrefix = "app" // of the names, as the operators' page has them
