--- /dev/null
+++ b/lab/soak/checker.go
@@ -0,0 +1,382 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Rule names a rule.
+type Rule string
+
+// The rules.
+const (
+	Lost      Rule = "lost"
+	Late      Rule = "late answer"
+	Duplicate Rule = "duplicate"
+	Drain     Rule = "drain"
+	Failback  Rule = "failback"
+	Held      Rule = "held"
+	HeldBack  Rule = "held-back events"
+	Told      Rule = "time told to an engine"
+	Crash     Rule = "crash"
+)
+
+// The rules' figures, with the protocol's tolerance for sockets.
+const (
+	heldFor       = 500*time.Millisecond + 300*time.Millisecond + 50*time.Millisecond
+	drainFor      = time.Second + 150*time.Millisecond
+	overlapFor    = 50 * time.Millisecond
+	answerSlack   = 500 * time.Millisecond
+	leaveSlack    = 100*time.Millisecond + 50*time.Millisecond
+	toldSlack     = 150*time.Millisecond + 50*time.Millisecond
+	eventSlack    = 300 * time.Millisecond
+	stoppedFor    = 3 * time.Second // of silence, after which a stream may be taken to have stopped
+	streamSilence = 5*time.Second + 500*time.Millisecond
+	exemptFor     = 700 * time.Millisecond // of what is taken after SIGTERM
+	sweepEvery    = 20 * time.Millisecond
+	heldUpFor     = 150 * time.Millisecond // by which a gateway may be late without excuse
+)
+
+// Break is a broken rule, with what its request went through.
+type Break struct {
+	Rule    Rule
+	At      time.Duration
+	ID      string
+	Text    string
+	History []string
+}
+
+// String writes a break with its history.
+func (b Break) String() string {
+	text := fmt.Sprintf("%7.3fs rule broken: %s: %s %s\n", b.At.Seconds(), b.Rule, b.ID, b.Text)
+	for _, line := range b.History {
+		text += "    " + line + "\n"
+	}
+	return text
+}
+
+// Counts are what a run has seen.
+type Counts struct {
+	Requests, Served, Refused, Failed, Left, Exempt int
+	Attempts, Reservations, Releases, Probes        int
+	Holds, Streams, HeldBackStreams, Unread         int
+}
+
+// Add adds another run's counts.
+func (c *Counts) Add(o Counts) {
+	c.Requests, c.Served, c.Refused, c.Failed = c.Requests+o.Requests, c.Served+o.Served, c.Refused+o.Refused, c.Failed+o.Failed
+	c.Left, c.Exempt, c.Attempts, c.Reservations = c.Left+o.Left, c.Exempt+o.Exempt, c.Attempts+o.Attempts, c.Reservations+o.Reservations
+	c.Releases, c.Probes, c.Holds, c.Streams = c.Releases+o.Releases, c.Probes+o.Probes, c.Holds+o.Holds, c.Streams+o.Streams
+	c.HeldBackStreams, c.Unread = c.HeldBackStreams+o.HeldBackStreams, c.Unread+o.Unread
+}
+
+// checker counts the rules from what engines and clients see. It knows nothing of what
+// gateways say of themselves.
+type checker struct {
+	story *Story
+	begun time.Time
+
+	mu       sync.Mutex
+	requests map[string]*request
+	told     map[[2]int]time.Time // gateway, engine: since when the gateway knows that it drains
+	openFrom map[[2]int]time.Time // gateway, engine: since when the engine can be reached; none = it can't
+	pauses   [][]pause            // by gateway
+	died     []time.Time          // by gateway, the latest
+	cold     map[int]*coldEngine
+	breaks   []Break
+	counts   Counts
+}
+
+// pause is a time in which a gateway's process was stopped.
+type pause struct{ from, to time.Time }
+
+// request is what is known of one.
+type request struct {
+	id       string
+	class    Class
+	gateway  int
+	asked    time.Time
+	left     time.Time // its client did; zero = not
+	answer   string    // its final one
+	attempts []*attempt
+	holds    map[int]*hold
+	lastEnd  time.Time
+	brokeIn  time.Duration // its stream broke so long behind its last event; 0 = it did not
+	leftIn   bool          // an engine saw its stream left by the caller
+	history  []string
+	reported map[Rule]bool
+}
+
+// hold is a KV state or a reservation at an engine.
+type hold struct {
+	place bool
+	since time.Time
+}
+
+// attempt is one that an engine which runs has read.
+type attempt struct {
+	engine    int
+	role      Role
+	conn      *linkConn
+	over      bool
+	turned    bool // away: it never ran
+	overlapAt time.Time
+}
+
+// coldEngine is one that has just started anew.
+type coldEngine struct {
+	since    time.Time
+	arrivals []time.Time
+}
+
+func newChecker(s *Story, begun time.Time) *checker {
+	c := &checker{
+		story: s, begun: begun, requests: map[string]*request{}, told: map[[2]int]time.Time{}, openFrom: map[[2]int]time.Time{},
+		pauses: make([][]pause, s.Gateways), died: make([]time.Time, s.Gateways), cold: map[int]*coldEngine{},
+	}
+	for g := range s.Gateways {
+		for e := range s.Engines {
+			c.openFrom[[2]int{g, e}] = begun
+		}
+	}
+	return c
+}
+
+// begins tells when the run has: the time before it counts for nothing.
+func (c *checker) begins(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begun = at
+}
+
+const mostHistory = 60
+
+func (c *checker) note(r *request, format string, args ...any) {
+	if len(r.history) < mostHistory {
+		r.history = append(r.history, fmt.Sprintf("%8.3f ", time.Since(c.begun).Seconds())+fmt.Sprintf(format, args...))
+	}
+}
+
+func (c *checker) broke(rule Rule, r *request, format string, args ...any) {
+	b := Break{Rule: rule, At: time.Since(c.begun), Text: fmt.Sprintf(format, args...)}
+	if r != nil {
+		if r.reported[rule] {
+			return
+		}
+		r.reported[rule] = true
+		b.ID, b.History = r.id, slices.Clone(r.history)
+	}
+	c.breaks = append(c.breaks, b)
+}
+
+// asks tells that a client begins to write a request; asked, that it is written whole.
+func (c *checker) asks(id string, class Class, gateway int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.requests[id] != nil { // sent again on a new connection, as it was not read
+		return
+	}
+	now := time.Now()
+	r := &request{id: id, class: class, gateway: gateway, asked: now, holds: map[int]*hold{}, lastEnd: now, reported: map[Rule]bool{}}
+	c.requests[id] = r
+	c.note(r, "for gateway %d: %s (%s), waits %v", gateway, class.Name, class.Effect, class.Deadline)
+}
+
+func (c *checker) asked(id string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.Requests++
+	r := c.requests[id]
+	r.asked = at
+	c.note(r, "written whole")
+}
+
+// leaves tells that a client closes before its answer.
+func (c *checker) leaves(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.requests[id]; r != nil {
+		r.left = time.Now()
+		c.counts.Left++
+		c.note(r, "the client leaves")
+	}
+}
+
+// answered tells how a request has ended for its client, at a time.
+func (c *checker) answered(id, how string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.requests[id]
+	if r == nil {
+		return
+	}
+	r.answer = how
+	c.note(r, "the client: %s", how)
+	switch how {
+	case answerServed, answerBroken:
+		c.counts.Served++
+	case answerRefused:
+		c.counts.Refused++
+		c.refusedAfterRun(r)
+	case answerFailed:
+		c.counts.Failed++
+	case answerExempt:
+		c.counts.Exempt++
+	case answerUnread:
+		c.counts.Unread++
+		if len(r.attempts) > 0 {
+			c.broke(Lost, r, "closed without an answer, though it was sent to an engine")
+		}
+	default:
+		c.broke(Lost, r, "%s", how)
+	}
+	late := at.Sub(r.asked) - r.class.Deadline - answerSlack - c.paused(r.gateway, r.asked, at)
+	if late > heldUpFor && (how == answerRefused || how == answerFailed) {
+		c.broke(Late, r, "%s %v after its time", how, late+answerSlack)
+	}
+}
+
+// refusedAfterRun checks a refusal of what must not be repeated.
+func (c *checker) refusedAfterRun(r *request) {
+	for _, a := range r.attempts {
+		if r.class.Effect == SideEffect && a.role != Prefill && !a.turned {
+			c.broke(Duplicate, r, "refused, though engine %d may have run it", a.engine)
+		}
+	}
+}
+
+// sees tells of a broken rule that a client has seen.
+func (c *checker) sees(rule Rule, id, text string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broke(rule, c.requests[id], "%s", text)
+}
+
+// reserves and probes count calls.
+func (c *checker) reserves() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.Reservations++
+}
+
+func (c *checker) probes() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.Probes++
+}
+
+// broken tells that a stream broke for its client, so long behind its last event.
+func (c *checker) broken(id string, behind time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.requests[id]; r != nil {
+		r.brokeIn = max(behind, 1)
+	}
+}
+
+// leftInStream tells that an engine at work saw its stream left by the caller.
+func (c *checker) leftInStream(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.requests[id]; r != nil {
+		r.leftIn = true
+	}
+}
+
+// streamed counts a whole stream, and whether one of its events was held back.
+func (c *checker) streamed(heldBack bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.Streams++
+	if heldBack {
+		c.counts.HeldBackStreams++
+	}
+}
+
+// takes tells that an engine that runs has read an attempt whole. It gives the attempt, or nil
+// for a request that no client has sent.
+func (c *checker) takes(id string, gateway, engine int, conn *linkConn, begun time.Time, remaining time.Duration) *attempt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, now := c.requests[id], time.Now()
+	if r == nil {
+		c.broke(Lost, nil, "engine %d got a request %q that no client sent", engine, id)
+		return nil
+	}
+	c.counts.Attempts++
+	a := &attempt{engine: engine, role: c.story.Engines[engine].Role, conn: conn}
+	c.note(r, "engine %d (%s) takes an attempt, told %v", engine, a.role, remaining)
+	for _, other := range r.attempts {
+		if !other.over && other.overlapAt.IsZero() {
+			other.overlapAt = now
+		}
+		if r.class.Effect == SideEffect && a.role != Prefill && other.role != Prefill && !other.turned {
+			c.broke(Duplicate, r, "engine %d runs it too, after engine %d", engine, other.engine)
+		}
+	}
+	r.attempts = append(r.attempts, a)
+	if a.role != Prefill {
+		r.dropPlaces(engine)
+	}
+	if r.answer == answerRefused {
+		c.refusedAfterRun(r)
+	}
+	c.timely(r, gateway, engine, now, begun, remaining)
+	c.bear(engine, now)
+	return a
+}
+
+// timely checks when an attempt began, where nothing but the gateway can have delayed it.
+func (c *checker) timely(r *request, gateway, engine int, now, begun time.Time, remaining time.Duration) {
+	open, reachable := c.openFrom[[2]int{gateway, engine}]
+	steady := func(from time.Time) bool { return reachable && open.Before(from) }
+	if since, drains := c.told[[2]int{gateway, engine}]; drains && steady(since) {
+		if late := begun.Sub(since) - c.paused(gateway, since, now); late > drainFor {
+			c.broke(Drain, r, "sent to engine %d %v after gateway %d was told that it drains or is gone", engine, late, gateway)
+		}
+	}
+	if !r.left.IsZero() && steady(r.left) {
+		if late := begun.Sub(r.left) - c.paused(gateway, r.left, now); late > leaveSlack {
+			c.broke(Lost, r, "an attempt at engine %d began %v after its client had left", engine, late)
+		}
+	}
+	if steady(r.asked) {
+		left := r.class.Deadline - now.Sub(r.asked)
+		if remaining > left+toldSlack+c.paused(gateway, r.asked, now) {
+			c.broke(Told, r, "engine %d is told %v with %v left", engine, remaining, left)
+		}
+	}
+}
+
+// ends tells how an attempt has ended at its engine.
+func (c *checker) ends(id string, a *attempt, how string, turned bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.requests[id]
+	if r == nil || a == nil {
+		return
+	}
+	c.note(r, "engine %d: %s", a.engine, how)
+	a.turned = a.turned || turned
+	if !a.over {
+		a.over, r.lastEnd = true, time.Now()
+	}
+}
+
+// finish gives the broken rules and the counts at a run's end.
+func (c *checker) finish() ([]Break, Counts) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.requests {
+		if r.leftIn && r.left.IsZero() && r.brokeIn > 0 && r.brokeIn < stoppedFor {
+			c.broke(Lost, r, "its stream was cut %v behind an event", r.brokeIn)
+		}
+	}
+	const least, share = 5, 10 // single delays are the machine's
+	if n := c.counts.HeldBackStreams; n > least && n*share > c.counts.Streams {
+		c.broke(HeldBack, nil, "%d of %d streams", n, c.counts.Streams)
+	}
+	return slices.Clone(c.breaks), c.counts
+}
--- /dev/null
+++ b/lab/soak/link.go
@@ -0,0 +1,271 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// link is the address at which one gateway reaches one engine. It can be made silent in two
+// ways: the peer's process is stopped (connections come up, bytes are acknowledged, nothing is
+// answered), or the path is cut (connections stay open, new ones never come up). Either way all
+// that was written is read once the link runs again, as with a real machine.
+type link struct {
+	addr string
+
+	mu      sync.Mutex
+	l       *net.TCPListener
+	frozen  int           // silences that are on
+	cuts    int           // of these, those in which no connection comes up
+	running chan struct{} // closed while bytes pass
+	fillers []net.Conn    // connections that keep the system's queue full
+	conns   map[*linkConn]struct{}
+	closed  chan struct{}
+	up      chan struct{} // closed while the process listens
+}
+
+func openLink(ip string) (*link, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return nil, fmt.Errorf("soak: %w", err)
+	}
+	running := make(chan struct{})
+	close(running)
+	return &link{
+		addr: l.Addr().String(), l: l.(*net.TCPListener), running: running, conns: map[*linkConn]struct{}{}, closed: make(chan struct{}), up: running,
+	}, nil
+}
+
+// die is the end of the engine's process: connections are reset, new ones refused.
+func (k *link) die() {
+	k.mu.Lock()
+	k.up = make(chan struct{})
+	k.l.Close()
+	k.mu.Unlock()
+	k.resetAll()
+}
+
+// revive has the engine's process listen at its address again.
+func (k *link) revive() error {
+	l, err := net.Listen("tcp", k.addr)
+	if err != nil {
+		return fmt.Errorf("soak: %w", err)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.l = l.(*net.TCPListener)
+	if k.cuts > 0 {
+		k.fill()
+	}
+	close(k.up)
+	return nil
+}
+
+// freeze begins a silence; with cut, no connection comes up either.
+func (k *link) freeze(cut bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.frozen++; k.frozen == 1 {
+		k.running = make(chan struct{})
+	}
+	if cut {
+		if k.cuts++; k.cuts == 1 {
+			k.fill()
+		}
+	}
+}
+
+// thaw ends a silence.
+func (k *link) thaw(cut bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if cut {
+		if k.cuts--; k.cuts == 0 {
+			k.drain()
+		}
+	}
+	if k.frozen--; k.frozen == 0 {
+		close(k.running)
+	}
+}
+
+// Lengths of the system's queue of connections that are not accepted yet.
+const (
+	shortQueue  = 0
+	longQueue   = 512
+	mostFillers = 8
+	fillerWait  = 20 * time.Millisecond
+)
+
+// fill has no connection come up: nothing is accepted, and the system's queue is kept full.
+func (k *link) fill() {
+	k.setQueue(shortQueue)
+	// The accept loop ends its call with a timeout and waits for the end of the cut.
+	_ = k.l.SetDeadline(time.Unix(1, 0)) // it fails on a closed listener alone
+	for range mostFillers {
+		c, err := net.DialTimeout("tcp", k.addr, fillerWait)
+		if err != nil {
+			return
+		}
+		k.fillers = append(k.fillers, c)
+	}
+}
+
+func (k *link) drain() {
+	for _, c := range k.fillers {
+		c.Close()
+	}
+	k.fillers = nil
+	k.setQueue(longQueue)
+	_ = k.l.SetDeadline(time.Time{}) // it fails on a closed listener alone
+}
+
+func (k *link) setQueue(length int) {
+	raw, err := k.l.SyscallConn()
+	if err != nil {
+		return // closed
+	}
+	_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), length) }) // a longer queue than wanted shows as a connection that comes up
+}
+
+// pass waits until bytes pass.
+func (k *link) pass() {
+	for {
+		k.mu.Lock()
+		running, frozen := k.running, k.frozen > 0
+		k.mu.Unlock()
+		if !frozen {
+			return
+		}
+		select {
+		case <-running:
+		case <-k.closed:
+			return
+		}
+	}
+}
+
+// open tells whether the link carries bytes and connections now.
+func (k *link) open() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.frozen == 0
+}
+
+// Accept is for net/http.
+func (k *link) Accept() (net.Conn, error) {
+	for {
+		k.mu.Lock()
+		l, up := k.l, k.up
+		k.mu.Unlock()
+		c, err := l.AcceptTCP()
+		if err != nil { // the link is cut, or its process has died, or it is closed for good
+			k.pass()
+			select {
+			case <-k.closed:
+				return nil, net.ErrClosed
+			case <-up:
+			}
+			sleepShortly()
+			continue
+		}
+		out := &linkConn{TCPConn: c, link: k}
+		k.mu.Lock()
+		k.conns[out] = struct{}{}
+		k.mu.Unlock()
+		return out, nil
+	}
+}
+
+// sleepShortly keeps a loop from spinning while an address is taken again.
+func sleepShortly() { time.Sleep(time.Millisecond) }
+
+// Close ends the link for good.
+func (k *link) Close() error {
+	k.mu.Lock()
+	select {
+	case <-k.closed:
+		k.mu.Unlock()
+		return nil
+	default:
+	}
+	close(k.closed)
+	for _, c := range k.fillers {
+		c.Close()
+	}
+	k.mu.Unlock()
+	return k.l.Close()
+}
+
+// Addr is for net/http.
+func (k *link) Addr() net.Addr { return k.l.Addr() }
+
+// resetAll resets every open connection, as a process that dies does.
+func (k *link) resetAll() {
+	k.mu.Lock()
+	list := make([]*linkConn, 0, len(k.conns))
+	for c := range k.conns {
+		list = append(list, c)
+	}
+	k.mu.Unlock()
+	for _, c := range list {
+		c.reset()
+	}
+}
+
+// linkConn is one connection of a link.
+type linkConn struct {
+	*net.TCPConn
+	link *link
+}
+
+// Read gives what has come, once the link runs.
+func (c *linkConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.link.pass()
+	return n, err
+}
+
+// Write writes once the link runs.
+func (c *linkConn) Write(p []byte) (int, error) {
+	c.link.pass()
+	return c.TCPConn.Write(p)
+}
+
+// Close ends the connection.
+func (c *linkConn) Close() error {
+	c.link.mu.Lock()
+	delete(c.link.conns, c)
+	c.link.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+func (c *linkConn) reset() {
+	_ = c.SetLinger(0) // without it the close ends the connection all the same
+	c.Close()
+}
+
+// States of a connection in the kernel, from its TCP header file.
+const (
+	tcpClose     = 7
+	tcpCloseWait = 8
+)
+
+// ended tells whether the caller has closed the connection or ended its sending, also while
+// the link is silent and nobody reads.
+func (c *linkConn) ended() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	over := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		over = err != nil || info.State == tcpClose || info.State == tcpCloseWait
+	})
+	return over || err != nil
+}
