Count the time of what is held from engines' answers, not from what was written

Change: only an engine's answer begins the time anew; the asking begins a reservation's. When it is up, all are told but the engine at which an attempt is out: a release lets go only of what no attempt waits for. What was released beside an attempt stays noted and is released again once that has ended without an answer.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -224,7 +224,7 @@
 	}
 	cancel(nil)
 	if ans.Status != ashwood.NoConnection && ans.Status != ashwood.NotSent {
-		h.idle()
+		h.ended(answered(ans.Status))
 	}
 	if ans.Status == ashwood.ConnectionLost || ans.Status == ashwood.CalledOff || ans.Status == ashwood.NoAnswer {
 		h.doubt()
@@ -287,6 +287,7 @@
 	defer g.clock.AfterFunc(reserveWait, cancel)()
 	for v, ok := step.Place, true; ok; {
 		ready := func() bool { return reading.Err() == nil && g.router.Accepts(v.ID) }
+		asked := g.clock.Now()
 		place := g.transport.Reserve(ctx, v, h.id, ready)
 		g.log.Debug("place", "id", h.id, "engine", v.ID, "answer", int(place))
 		switch place {
@@ -302,7 +303,7 @@
 		case reading.Err() != nil:
 			h.addLate(v)
 		default:
-			h.add(v, holdReservation)
+			h.reserved(v, asked)
 		}
 		if place == PlaceUnknown || place == PlaceUnasked {
 			return
--- a/gateway/holdlog.go
+++ b/gateway/holdlog.go
@@ -17,6 +17,10 @@
 	holdReservation holdReason = "reservation" // a place was asked for there
 )
 
+// unsettledEvery is the least time in ms between two log lines on holds that are released while
+// an attempt is out: with many engines silent or slow there are many.
+const unsettledEvery = 10000
+
 // holdLog keeps what engines may hold for requests, for records and metrics alone: nothing is
 // decided by it. It holds an entry until the hold ends, as holds and the release ledger do.
 type holdLog struct {
@@ -24,8 +28,10 @@
 	clock   Clock
 	metrics *metrics.Set
 
-	mu   sync.Mutex
-	open map[release.Key]openHold
+	mu     sync.Mutex
+	open   map[release.Key]openHold
+	untold int     // holds released while an attempt was out, since the last line on them
+	nextAt float64 // ms, from when on there may be another
 }
 
 type openHold struct {
@@ -64,6 +70,25 @@
 	}
 }
 
+// unsettled tells that holds are being released while an attempt for their request is out, of
+// which its engine has given no sign yet. Lines are bounded in rate, and tell the count since the last.
+func (l *holdLog) unsettled(k release.Key, holds int) {
+	l.metrics.ReleasedBeside(holds)
+	now := l.clock.Now()
+	l.mu.Lock()
+	l.untold += holds
+	count := l.untold
+	due := now >= l.nextAt
+	if due {
+		l.nextAt, l.untold = now+unsettledEvery, 0
+	}
+	l.mu.Unlock()
+	if due {
+		l.log.Info("holds released while an attempt was out and unanswered", "count", count,
+			"last_id", k.Request, "last_attempt_at", k.Engine)
+	}
+}
+
 // figures are how many holds there are, and for how many ms the oldest has stood.
 func (l *holdLog) figures() (open int, oldest float64) {
 	now := l.clock.Now()
--- a/gateway/holds.go
+++ b/gateway/holds.go
@@ -11,8 +11,16 @@
 	"ashwood.example/ashwood/internal/release"
 )
 
+// arrivalWait is how many ms a send that was written shortly before the time of what is held was up
+// has to reach its engine: a release that overtakes it would cost the request its state.
+const arrivalWait = 100
+
 // holds are the engines that may hold a state or a place for a request that still
-// wants them.
+// wants them. What is held has a time, which counts from the last sign of an engine that an attempt
+// has ended, or from the asking for a place. Nothing that this side writes stops it: bytes written
+// are not bytes arrived, and a silent engine reads them much later. When the time is up, all are told
+// but the engine at which an attempt is out. A release lets go only of what no attempt waits for,
+// so that it costs a call where that attempt has arrived, and the state alone where it has not.
 type holds struct {
 	owner *owner
 	id    ashwood.RequestID
@@ -25,56 +33,108 @@
 	doubtful bool             // an engine may not have seen an attempt or a call to end
 	begun    bool             // the answer has
 	over     bool             // the request has its final answer
-	stop     func() bool      // the timer of what is held while no attempt is out
-	due      float64          // when that is to be let go of; +Inf = not at all
+	out      ashwood.ServerID // the engine of the attempt that was written and has not ended; "" = none
+	due      float64          // when the time of what is held is up; +Inf = nothing is held, or it has been released
+	fires    float64          // when it is released: then, or arrivalWait later at most
+	stop     func() bool      // the timer of that
 }
 
 func (o *owner) holds(id ashwood.RequestID) *holds {
-	return &holds{owner: o, id: id, engines: map[ashwood.ServerID]ashwood.Server{}, stop: func() bool { return true }, due: math.Inf(1)}
+	return &holds{
+		owner: o, id: id, engines: map[ashwood.ServerID]ashwood.Server{}, stop: func() bool { return true }, due: math.Inf(1), fires: math.Inf(1),
+	}
+}
+
+// arm sets the time by which what is held has to be released, and when that is done. The lock is held.
+func (h *holds) arm(due, fires float64) {
+	h.stop()
+	h.due, h.fires = due, fires
+	h.stop = func() bool { return true }
+	if !math.IsInf(fires, 1) {
+		h.stop = h.owner.g.clock.AfterFunc(max(fires-h.owner.g.clock.Now(), 0), func() {
+			h.owner.g.spawn(h.overdue)
+		})
+	}
+}
+
+// sent notes an engine to which an attempt has been written. Whether it has arrived there is not known.
+func (h *holds) sent(v ashwood.Server) {
+	h.mu.Lock()
+	h.out = v.ID
+	if reached := h.owner.g.clock.Now() + arrivalWait; reached > h.fires {
+		h.arm(h.due, min(reached, h.due+arrivalWait))
+	}
+	h.mu.Unlock()
+	h.add(v, holdAttempt)
 }
 
-// idle tells that no attempt is out from now on. What is held is let go of when
-// its time is up, whatever the request does meanwhile: the time keeps running
-// while connections fail to come up. A writer that then finds no state says so, and it is read anew.
-func (h *holds) idle() {
+// ended tells that the attempt which was written last is out no more. Only an engine's answer begins
+// the time of what is held anew; without one the attempt may never have been there.
+func (h *holds) ended(answered bool) {
 	limit := h.owner.g.holdTime
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.out = ""
 	if limit <= 0 {
 		return
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.stop()
-	h.due = h.owner.g.clock.Now() + limit
-	h.stop = h.owner.g.clock.AfterFunc(limit, func() {
-		h.owner.g.spawn(h.overdue)
-	})
+	due := h.owner.g.clock.Now() + limit
+	if !answered {
+		due = min(due, h.due)
+	}
+	h.arm(due, due)
 }
 
-// sent notes an engine that an attempt is out at.
-func (h *holds) sent(v ashwood.Server) {
+// reserved notes an engine that may hold a place asked for at a time, while the prompt is being read.
+func (h *holds) reserved(v ashwood.Server, asked float64) {
+	limit := h.owner.g.holdTime
 	h.mu.Lock()
-	h.stop()
-	h.due = math.Inf(1)
+	if due := asked + limit; limit > 0 && due < h.due {
+		h.arm(due, due)
+	}
 	h.mu.Unlock()
-	h.add(v, holdAttempt)
+	h.add(v, holdReservation)
 }
 
-// overdue lets go of what has been held for as long as it may. It comes before a send
+// overdue releases what has been held for as long as it may. It comes before a send
 // too, which waits for one that is under way; a timer that fires late finds nothing due.
 func (h *holds) overdue() {
 	h.letting.Lock()
 	defer h.letting.Unlock()
 	h.mu.Lock()
-	due := h.owner.g.clock.Now() >= h.due
+	due := h.owner.g.clock.Now() >= h.fires
 	if due {
-		h.due = math.Inf(1)
+		h.arm(math.Inf(1), math.Inf(1))
 	}
+	out := h.out
 	h.mu.Unlock()
-	if due {
+	switch {
+	case !due:
+	case out == "":
 		h.release(false)
+	default:
+		h.releaseBeside(out)
 	}
 }
 
+// releaseBeside has all engines told but the one at which an attempt is out. They stay noted: where the
+// attempt has arrived, they go on holding what it waits for.
+func (h *holds) releaseBeside(out ashwood.ServerID) {
+	h.mu.Lock()
+	var engines []ashwood.Server
+	for id, v := range h.engines {
+		if id != out {
+			engines = append(engines, v)
+		}
+	}
+	h.mu.Unlock()
+	if len(engines) == 0 {
+		return
+	}
+	h.owner.g.holdLog.unsettled(h.key(out), len(engines))
+	h.owner.settle(h.id, engines, false)()
+}
+
 // add notes an engine. After the final answer it is to be told at once.
 func (h *holds) add(v ashwood.Server, why holdReason) {
 	h.mu.Lock()
@@ -126,8 +186,8 @@
 func (h *holds) begin() {
 	h.mu.Lock()
 	late, doubtful := h.late, h.doubtful
-	h.begun, h.late, h.told = true, nil, nil
-	h.stop()
+	h.begun, h.late, h.told, h.out = true, nil, nil, ""
+	h.arm(math.Inf(1), math.Inf(1))
 	taken := slices.Collect(maps.Keys(h.engines))
 	h.mu.Unlock()
 	for _, engine := range taken {
@@ -143,7 +203,7 @@
 	defer h.mu.Unlock()
 	h.over = h.over || final
 	if final {
-		h.stop()
+		h.arm(math.Inf(1), math.Inf(1))
 		for _, v := range h.told {
 			h.engines[v.ID] = v
 		}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -44,6 +44,7 @@
 	names    []string
 	classes  map[string]*class
 	holdEnds [holdEnds]atomic.Uint64
+	released atomic.Uint64 // holds, while an attempt was out
 }
 
 type class struct {
@@ -83,6 +84,9 @@
 	}
 }
 
+// ReleasedBeside counts holds released while an attempt for their request was out and unanswered.
+func (s *Set) ReleasedBeside(holds int) { s.released.Add(uint64(holds)) }
+
 // Gauges are the values of this moment.
 type Gauges struct {
 	Open       int     // requests taken and not ended
@@ -124,7 +128,8 @@
 			return fmt.Errorf("metrics: %w", err)
 		}
 	}
-	_, err := fmt.Fprintf(w, "%s.holds_open:%d|g\n%s.holds_oldest_ms:%.0f|g\n", prefix, g.Holds, prefix, g.OldestHold)
+	_, err := fmt.Fprintf(w, "%s.holds_released_unanswered:%d|c\n%s.holds_open:%d|g\n%s.holds_oldest_ms:%.0f|g\n",
+		prefix, s.released.Load(), prefix, g.Holds, prefix, g.OldestHold)
 	if err != nil {
 		return fmt.Errorf("metrics: %w", err)
 	}
