Leave servers that give no sign, by probes that go unanswered; wait for streams just back

Change (silence.go, new under policy): an attempt whose server has sent nothing back for 150 ms has it probed; a probe unanswered for 250 ms has what may be repeated sent elsewhere, and reads; an order waits on. A probe that fails at once, or that this node is late for, tells nothing. Such waits stay out of the pace. A server just heard again has 100 ms for its open answers to go on. Result: module tests; new ones for unanswered, answered, failed and late probes, reads of orders and streams just back.

--- a/harness_test.go
+++ b/harness_test.go
@@ -28,6 +28,7 @@
 	s   *Scheduler
 	now time.Duration
 	out []Action
+	set []SetTimer // all that it has asked for
 }
 
 func newNode(t *testing.T, set Settings, list ...Server) *node {
@@ -43,6 +44,11 @@
 
 func (n *node) do(e Event) []Action {
 	n.out = n.s.Handle(n.now, e, nil)
+	for _, x := range n.out {
+		if a, ok := x.(SetTimer); ok {
+			n.set = append(n.set, a)
+		}
+	}
 	return n.out
 }
 
--- a/outcomes.go
+++ b/outcomes.go
@@ -29,6 +29,7 @@
 	s.worked(r, a, e.Latency)
 	s.impatience[r.Tenant] -= ewma * s.impatience[r.Tenant]
 	a.begun, r.done, r.state, r.ahead = true, true, nil, nil
+	a.srv.hear(s.now)
 	a.srv.queue -= a.tokens
 }
 
@@ -42,6 +43,9 @@
 	waits, told := v.report[ReportQueue]
 	sign := first && s.set.Nodes > manyNodes || others-since >= stopSure/2
 	ask = sign && s.set.Limits.Probes && s.now-since < 2*stopSure
+	if s.justBack(v) {
+		return false, false
+	}
 	idle := told && waits < 1 && v.reportAt-since >= stopSure
 	return r != nil && n < len(r.attempts) && v.began[r.attempts[n].stage] > since || ask && idle, ask
 }
@@ -53,6 +57,9 @@
 	}
 	v := a.srv
 	a.out, r.idle, r.out = false, s.now, r.out-1
+	if e.Status == Served || e.Status == Parsed || e.Status == TurnedAway || e.Status == ServerError {
+		v.hear(s.now)
+	}
 	if !a.begun {
 		v.queue -= a.tokens
 	}
@@ -114,7 +121,7 @@
 	case ServerError, ConnectionLost:
 		s.judge(a.srv, r, false)
 	case NoAnswer, CalledOff: // a client that leaves a begun answer tells nothing of the wait before it
-		if !a.begun && !a.overtaken() {
+		if !a.begun && !a.overtaken() && !a.silent {
 			s.pace[a.stage].Observe(s.now, e.Latency, a.queue)
 		}
 		if e.Status == NoAnswer {
@@ -162,6 +169,8 @@
 	case r == nil || r.done:
 	case t.what == lookAgain:
 		s.advance(r)
+	case t.what == lookForSign:
+		s.lookForSign(r, t.attempt)
 	case r.attempts[t.what].out:
 		s.overdue(r, t.what)
 	}
@@ -175,7 +184,7 @@
 func (s *Scheduler) overdue(r *request, n int) {
 	a, limit := r.attempts[n], s.limit(r, r.attempts[n])
 	wait := s.now - a.sent
-	switch s.after(max(limit-wait, limit/2), timer{r.ID, n}); {
+	switch s.after(max(limit-wait, limit/2), timer{id: r.ID, what: n}); {
 	case wait < limit: // the pace has changed since
 	case a.overtaken() && (!a.write || wait >= 2*limit): // at writers, small states overtake
 		s.leave(r, n)
@@ -236,7 +245,12 @@
 }
 
 func (s *Scheduler) probed(e Probed) {
-	if v := s.servers[e.Server]; v != nil && e.Status == Served {
+	v := s.servers[e.Server]
+	if v == nil {
+		return
+	}
+	s.signed(v, e.Status)
+	if e.Status == Served {
 		if s.heard(v, e.Report); s.overloaded(v) { // but else it proves nothing about a hang
 			s.pauseSends(v)
 		}
--- a/scheduler.go
+++ b/scheduler.go
@@ -1,7 +1,8 @@
 // Package ashwood decides, for one node, where prompts are read and answers
 // are written: prefix-cache-aware routing over readers (prefill), then the
 // roomiest nearby writer (decode). This file, outcomes.go, health.go and choose.go
-// hold every decision and tuned value, ending.go what becomes of requests when the node ends;
+// hold every decision and tuned value, ending.go what becomes of requests when the node ends,
+// silence.go what becomes of attempts at servers that give no sign;
 // the interface is in types.go, what is remembered in state.go.
 package ashwood
 
@@ -98,7 +99,7 @@
 	if q := s.asked[e.Tenant]; q != nil {
 		q.Add(s.now, time.Second, 1)
 	}
-	s.after(r.deadline-s.now, timer{e.ID, lookAgain})
+	s.after(r.deadline-s.now, timer{id: e.ID, what: lookAgain})
 	s.creditChance()
 	if r.PromptTokens > s.longest {
 		s.giveUp(r, WhyTooLong)
@@ -125,7 +126,7 @@
 	if w := s.pickWriter(r, r.state); w != nil {
 		s.send(r, w, true)
 	} else if s.now-r.idle < s.set.Rules.Release/2 {
-		s.after(min(retryPause, s.set.Rules.Release/8), timer{r.ID, lookAgain})
+		s.after(min(retryPause, s.set.Rules.Release/8), timer{id: r.ID, what: lookAgain})
 	} else {
 		s.giveUp(r, WhyNoWriter)
 	}
@@ -136,7 +137,7 @@
 		r.polls++
 		candidates := s.candidates(r, s.answering(s.pool(r, reads)))
 		if s.poll(func(v *server) bool { return slices.Contains(candidates, v) }) {
-			s.after(probeWait, timer{r.ID, lookAgain})
+			s.after(probeWait, timer{id: r.ID, what: lookAgain})
 			return
 		}
 	}
@@ -155,7 +156,7 @@
 			s.releaseHeld(r)
 		}
 		clear(r.tried)
-		s.after(retryPause, timer{r.ID, lookAgain})
+		s.after(retryPause, timer{id: r.ID, what: lookAgain})
 	default:
 		s.send(r, v, write)
 		if s.set.Ahead && !write && r.ahead == nil {
@@ -293,7 +294,8 @@
 	}
 	r.attempts, r.out, r.tried[v] = append(r.attempts, a), r.out+1, true
 	s.act(Attempt{ID: r.ID, Server: v.ID, Timeout: r.deadline - s.now})
-	s.after(s.limit(r, a), timer{r.ID, len(r.attempts) - 1})
+	s.after(s.limit(r, a), timer{id: r.ID, what: len(r.attempts) - 1})
+	s.watchSign(r, len(r.attempts)-1)
 }
 
 // limit is the time after which an attempt is overdue, as like work goes now.
--- /dev/null
+++ b/silence_test.go
@@ -0,0 +1,123 @@
+package ashwood
+
+import (
+	"testing"
+	"time"
+)
+
+// atWriter gives a node with a request of a class whose prompt has been read, out at a writer.
+func atWriter(t *testing.T, class string) (n *node, writerID string) {
+	t.Helper()
+	set := settings()
+	set.Limits.Probes = true
+	n = newNode(t, set, reader("r1"), writer("w1", 0), writer("w2", 0), writer("w3", 0))
+	n.do(Request{ID: "a", Class: class, Session: 1, PromptTokens: 320, TimeLeft: 5 * time.Second})
+	n.end("a", 0, "r1", Parsed)
+	a, _ := pick[Attempt](n)
+	return n, string(a.Server)
+}
+
+// until runs the node's timers up to a time from now on, and gives what it asked for.
+func (n *node) until(d time.Duration) (actions []Action) {
+	for end := n.now + d; ; {
+		next, found := SetTimer{At: end}, false
+		for _, a := range n.set {
+			if _, open := n.s.timers[a.Token]; open && a.At <= next.At {
+				next, found = a, true
+			}
+		}
+		n.now = max(n.now, next.At)
+		if !found {
+			return actions
+		}
+		actions = append(actions, n.do(Timer{next.Token})...)
+	}
+}
+
+func asked[A Action](actions []Action) (list []A) {
+	for _, x := range actions {
+		if a, ok := x.(A); ok {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// A server that gives no sign of an attempt is probed. Where the probe goes unanswered as well,
+// what may be repeated is sent elsewhere at once; an order, which may have run, waits on.
+func TestSilence_UnansweredProbe(t *testing.T) {
+	for class, leaves := range map[string]bool{"chat": true, "pay": false} {
+		n, w := atWriter(t, class)
+		if probes := asked[Probe](n.until(signWait)); len(probes) != 1 || string(probes[0].Server) != w {
+			t.Fatalf("%s: probes %v, want one of %s", class, probes, w)
+		}
+		n.now += 250 * ms
+		n.do(Probed{Server: ServerID(w), Status: NoConnection})
+		cancels := asked[Cancel](n.out)
+		if len(cancels) > 0 != leaves {
+			t.Fatalf("%s: cancelled %v", class, cancels)
+		}
+		if !leaves {
+			continue
+		}
+		n.end("a", 1, w, CalledOff)
+		if a, ok := pick[Attempt](n); !ok || string(a.Server) == w {
+			t.Errorf("%s: sent to %q after %s", class, a.Server, w)
+		}
+	}
+}
+
+// A slow first token at a server that answers probes is no silence, whatever it answers; nor is
+// a probe that failed at once, or of which this node was too late to know.
+func TestSilence_NoSilence(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		status Status
+		after  time.Duration
+	}{
+		{"answered", Served, 250 * ms}, {"answered with an error", ServerError, 250 * ms}, {"failed at once", NoConnection, 10 * ms},
+		{"this node was held up", NoConnection, 700 * ms},
+	} {
+		n, w := atWriter(t, "chat")
+		n.until(signWait)
+		n.now += tt.after
+		n.do(Probed{Server: ServerID(w), Status: tt.status})
+		lacks[Cancel](n)
+		if more := n.until(700 * ms); len(asked[Probe](more)) == 0 {
+			t.Errorf("%s: it is not probed again", tt.name)
+		}
+	}
+}
+
+// A read has no effect, however it ends: an order's is left like any other.
+func TestSilence_ReadOfAnOrder(t *testing.T) {
+	set := settings()
+	set.Limits.Probes = true
+	n := newNode(t, set, reader("r1"), reader("r2"), writer("w1", 0))
+	n.do(Request{ID: "a", Class: "pay", Session: 1, PromptTokens: 320, TimeLeft: 5 * time.Second})
+	a, _ := pick[Attempt](n)
+	n.until(signWait)
+	n.now += 250 * ms
+	n.do(Probed{Server: a.Server, Status: ConnectionLost})
+	wants[Cancel](n)
+}
+
+// A server that is heard again after a silence has not stopped the answers that have not gone on
+// yet: they do a moment later. Those that still have not then have stopped.
+func TestSilence_AnswersOfAServerThatIsJustBack(t *testing.T) {
+	n, w := atWriter(t, "chat")
+	n.do(First{ID: "a", Attempt: 1, Server: ServerID(w)})
+	v, r, since := n.s.servers[ServerID(w)], n.s.reqs["a"], n.now
+	n.now += 4 * time.Second
+	v.began[writing] = since + ms // another answer, to what was sent later, begins
+	v.hear(n.now)
+	for _, tt := range []struct {
+		after time.Duration
+		want  bool
+	}{{0, false}, {backWait, true}} {
+		n.s.now = n.now + tt.after
+		if over, _ := n.s.stopped(r, 1, v, since, since, false); over != tt.want {
+			t.Errorf("%v behind its return: stopped %v, want %v", tt.after, over, tt.want)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -37,6 +37,9 @@
 	report      Report
 	reportAt    time.Duration
 	polled      time.Duration // last asked for it
+	heardAt     time.Duration // it last sent anything back
+	backAt      time.Duration // it was heard again after a silence
+	signAsked   time.Duration // last probed for a sign of life
 	runs        prefix.Held
 	hash        uint64                // of its id
 	ratio       float64               // latency against what its role takes for like work
@@ -73,6 +76,7 @@
 	tokens float64 // to be read or fetched
 	queue  float64 // own tokens waiting there, these included
 	kept   float64 // tokens that the table was sure of
+	silent bool    // its server has left a probe without an answer since
 }
 
 // overtaken tells that its server has begun what was sent later: its connection may have
@@ -100,14 +104,16 @@
 
 // timer tells what a Timer event is for: an attempt to look at, or one of these.
 type timer struct {
-	id   RequestID
-	what int
+	id      RequestID
+	what    int
+	attempt int // with lookForSign
 }
 
 const (
 	lookAgain = -1 - iota
 	watchAgain
 	endRequests
+	lookForSign
 )
 
 // Scheduler makes the decisions of one node.
