Release a place beside a read only where the read's engine gives no sign

Cause: The release at the time's end also went to the place of a read under way. Excluded: releases beside attempts at decode engines (none of 9 was answered 410). Change: beside a read, the place is released where the engine asked for it knows of no read (204), or where the read's engine has sent nothing back well after the last byte and does not answer a probe within 100 ms. Where probes are not allowed, the answer that a place is held tells that the read is known, as the protocol has it.

--- a/cmd/ashlab/main.go
+++ b/cmd/ashlab/main.go
@@ -51,6 +51,6 @@
 		return slog.New(slog.NewTextHandler(os.Stderr, nil))
 	}
 	cmd.AddCommand(rehearseCommand(logger), scenariosCommand(), emulateCommand(logger), loadCommand(), recordCommand(), compareCommand(),
-		fleetCommand())
+		fleetCommand(), soakCommand())
 	return cmd
 }
--- /dev/null
+++ b/cmd/ashlab/soak.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"fmt"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"ashwood.example/ashwood/lab/soak"
+)
+
+func soakCommand() *cobra.Command {
+	var first uint64
+	var seeds, parallel int
+	var length time.Duration
+	var script bool
+	opt := soak.Options{LogLevel: "debug"}
+	cmd := &cobra.Command{
+		Use: "soak", Args: cobra.NoArgs, Short: "Play stories of overlapping faults on real processes, one for each seed",
+		Long: `Draws a story for each seed: gateways, engines, settings, clients, and faults and signals
+that overlap. Plays it on real processes over loopback, and counts every rule from what engines
+and clients see. A story that breaks one is printed with its script and what its requests went
+through; --first SEED --seeds 1 plays it again.
+
+It exits with 1 if a rule was broken or a gateway crashed.`,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if opt.Program == "" {
+				var err error
+				if opt.Program, err = beside("ashwood"); err != nil {
+					return err
+				}
+			}
+			var mu sync.Mutex
+			var all sync.WaitGroup
+			var sum soak.Counts
+			broken := 0
+			next := make(chan uint64)
+			for range max(parallel, 1) {
+				all.Go(func() {
+					for seed := range next {
+						story, one := soak.Generate(seed, length), opt
+						if opt.Logs != "" {
+							one.Logs = filepath.Join(opt.Logs, fmt.Sprint(seed))
+						}
+						rep, err := soak.Play(cmd.Context(), story, one)
+						mu.Lock()
+						switch {
+						case err != nil:
+							broken++
+							fmt.Fprintf(cmd.OutOrStdout(), "seed %d could not be played: %v\n", seed, err)
+						case !rep.OK():
+							broken++
+							fmt.Fprint(cmd.OutOrStdout(), rep)
+						case script:
+							fmt.Fprint(cmd.OutOrStdout(), rep)
+						default:
+							fmt.Fprintf(cmd.OutOrStdout(), "seed %d: rules kept; %+v\n", seed, rep.Counts)
+						}
+						if rep != nil {
+							sum.Add(rep.Counts)
+						}
+						mu.Unlock()
+					}
+				})
+			}
+			for i := range seeds {
+				next <- first + uint64(i)
+			}
+			close(next)
+			all.Wait()
+			fmt.Fprintf(cmd.OutOrStdout(), "%d seeds, %d with broken rules; %+v\n", seeds, broken, sum)
+			if broken > 0 {
+				return errBroken
+			}
+			return nil
+		},
+	}
+	cmd.Flags().Uint64Var(&first, "first", 1, "the first seed")
+	cmd.Flags().IntVar(&seeds, "seeds", 10, "how many seeds to play")
+	cmd.Flags().IntVar(&parallel, "parallel", 2, "how many stories to play at once")
+	cmd.Flags().DurationVar(&length, "length", 8*time.Second, "for how long clients ask")
+	cmd.Flags().BoolVar(&script, "script", false, "print the script of every story")
+	cmd.Flags().StringVar(&opt.Program, "program", "", "the gateway's program; ashwood beside this one by default")
+	cmd.Flags().StringVar(&opt.Logs, "logs", "", "a folder for the gateways' logs, one folder a seed")
+	return cmd
+}
--- a/facade.go
+++ b/facade.go
@@ -122,6 +122,16 @@
 	return v != nil && v.listed
 }
 
+// HeardAt is when a server last sent anything back to this node, in ms of the clock; 0 = not yet.
+func (t *Router) HeardAt(id ServerID) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if v := t.sched.servers[id]; v != nil {
+		return millis(v.heardAt)
+	}
+	return 0
+}
+
 // Share says how many processes, this one among them, count as one node to the rules:
 // each keeps to its part of what cold servers may be sent.
 func (t *Router) Share(processes int) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 	clock     Clock
 	log       *slog.Logger
 	holdTime  float64        // ms in which what is held must be taken; 0 = not told
+	probes    bool           // are allowed
 	beside    sync.WaitGroup // what runs beside requests: places, releases, probes
 	owner     *owner         // of what is held and wanted no more
 	live      *liveness
@@ -43,7 +44,7 @@
 
 // New makes a gateway. Run must be running for it to serve.
 func New(set ashwood.Settings, seed int64, transport Transport, c Clock, log *slog.Logger) (*Gateway, error) {
-	g := &Gateway{transport: transport, clock: c, log: log, holdTime: clock.Millis(set.Rules.Release)}
+	g := &Gateway{transport: transport, clock: c, log: log, holdTime: clock.Millis(set.Rules.Release), probes: set.Limits.Probes}
 	names := make([]string, len(set.Classes))
 	for i, class := range set.Classes {
 		names[i] = class.Name
@@ -196,7 +197,7 @@
 		},
 		Sent: func() {
 			g.record(req, step, reqlog.Sent, "")
-			h.sent(step.Engine)
+			h.sent(step.Engine, step.Reads)
 			g.metrics.Relayed(req.Class)
 			if step.Place.ID != "" {
 				g.spawn(func() { g.reserve(actx, step, h) })
@@ -303,7 +304,7 @@
 		case reading.Err() != nil:
 			h.addLate(v)
 		default:
-			h.reserved(v, asked)
+			h.reserved(v, asked, place == PlaceHeld || ctx.Err() != nil)
 		}
 		if place == PlaceUnknown || place == PlaceUnasked {
 			return
@@ -321,18 +322,3 @@
 	}()
 	f()
 }
-
-func (g *Gateway) probe(v ashwood.Server) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	defer g.clock.AfterFunc(probeWait, cancel)()
-	begun := g.clock.Now()
-	status, report := g.transport.Probe(ctx, v)
-	if status == ashwood.Served {
-		g.owner.heard(v)
-	} else {
-		g.owner.unheard(v.ID, "probe")
-	}
-	g.log.Debug("probe", "engine", v.ID, "kind", v.Kind, "status", status, "ms", g.clock.Now()-begun, "report", report)
-	g.router.Probed(v.ID, status, report)
-}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -32,6 +32,7 @@
 	fresh     []bool                   // whether each release was to go on a new connection
 	probed    chan string              // gets each engine asked for its load
 	load      ashwood.Report           // what probes tell
+	mute      bool                     // probes get no answer
 	nodes     int                      // gateways, one by default; with more, loads are asked for
 	asked     chan struct{}            // gets a value when a place is asked for
 	answer    chan struct{}            // if set, a place is answered when it closes
@@ -111,8 +112,12 @@
 	return nil
 }
 
-func (p *peer) Probe(_ context.Context, v ashwood.Server) (ashwood.Status, ashwood.Report) {
+func (p *peer) Probe(ctx context.Context, v ashwood.Server) (ashwood.Status, ashwood.Report) {
 	p.probed <- string(v.ID)
+	if p.mute {
+		<-ctx.Done()
+		return ashwood.ConnectionLost, nil
+	}
 	return ashwood.Served, p.load
 }
 
@@ -149,8 +154,8 @@
 
 func startAt(t *testing.T, p *peer, c Clock) *Gateway {
 	t.Helper()
-	p.hanging, p.freed, p.asked = make(chan struct{}, 9), make(chan string, 9), make(chan struct{}, 9)
-	p.probed = make(chan string, 9)
+	p.hanging, p.freed, p.asked = make(chan struct{}, 99), make(chan string, 99), make(chan struct{}, 99)
+	p.probed = make(chan string, 99)
 	class := func(name string, e ashwood.Effect) ashwood.Class {
 		return ashwood.Class{Name: name, Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, Effect: e}
 	}
--- a/gateway/holds.go
+++ b/gateway/holds.go
@@ -20,7 +20,9 @@
 // has ended, or from the asking for a place. Nothing that this side writes stops it: bytes written
 // are not bytes arrived, and a silent engine reads them much later. When the time is up, all are told
 // but the engine at which an attempt is out. A release lets go only of what no attempt waits for,
-// so that it costs a call where that attempt has arrived, and the state alone where it has not.
+// so that it costs a call where an attempt for an answer has arrived, and the state alone where it has
+// not. A prompt that is being read waits for nothing, and a release then takes its state in advance:
+// a place is released beside a read only where the read's engine gives no sign.
 type holds struct {
 	owner *owner
 	id    ashwood.RequestID
@@ -33,12 +35,20 @@
 	doubtful bool             // an engine may not have seen an attempt or a call to end
 	begun    bool             // the answer has
 	over     bool             // the request has its final answer
-	out      ashwood.ServerID // the engine of the attempt that was written and has not ended; "" = none
+	out      *outAttempt      // that was written and has not ended; nil = none
+	unread   bool             // an engine asked for a place knows of no read
 	due      float64          // when the time of what is held is up; +Inf = nothing is held, or it has been released
 	fires    float64          // when it is released: then, or arrivalWait later at most
 	stop     func() bool      // the timer of that
 }
 
+// outAttempt is an attempt whose last byte has been written.
+type outAttempt struct {
+	engine  ashwood.Server
+	reads   bool
+	written float64
+}
+
 func (o *owner) holds(id ashwood.RequestID) *holds {
 	return &holds{
 		owner: o, id: id, engines: map[ashwood.ServerID]ashwood.Server{}, stop: func() bool { return true }, due: math.Inf(1), fires: math.Inf(1),
@@ -58,10 +68,11 @@
 }
 
 // sent notes an engine to which an attempt has been written. Whether it has arrived there is not known.
-func (h *holds) sent(v ashwood.Server) {
+func (h *holds) sent(v ashwood.Server, reads bool) {
+	now := h.owner.g.clock.Now()
 	h.mu.Lock()
-	h.out = v.ID
-	if reached := h.owner.g.clock.Now() + arrivalWait; reached > h.fires {
+	h.out, h.unread = &outAttempt{engine: v, reads: reads, written: now}, false
+	if reached := now + arrivalWait; reached > h.fires {
 		h.arm(h.due, min(reached, h.due+arrivalWait))
 	}
 	h.mu.Unlock()
@@ -74,7 +85,7 @@
 	limit := h.owner.g.holdTime
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.out = ""
+	h.out = nil
 	if limit <= 0 {
 		return
 	}
@@ -86,9 +97,11 @@
 }
 
 // reserved notes an engine that may hold a place asked for at a time, while the prompt is being read.
-func (h *holds) reserved(v ashwood.Server, asked float64) {
+// Where the engine has answered that it knows of no read, that has not arrived.
+func (h *holds) reserved(v ashwood.Server, asked float64, knowsRead bool) {
 	limit := h.owner.g.holdTime
 	h.mu.Lock()
+	h.unread = h.unread || !knowsRead
 	if due := asked + limit; limit > 0 && due < h.due {
 		h.arm(due, due)
 	}
@@ -106,14 +119,15 @@
 	if due {
 		h.arm(math.Inf(1), math.Inf(1))
 	}
-	out := h.out
+	out, unread := h.out, h.unread
 	h.mu.Unlock()
 	switch {
 	case !due:
-	case out == "":
+	case out == nil:
 		h.release(false)
+	case out.reads && !unread && h.owner.g.arrived(out):
 	default:
-		h.releaseBeside(out)
+		h.releaseBeside(out.engine.ID)
 	}
 }
 
@@ -186,7 +200,7 @@
 func (h *holds) begin() {
 	h.mu.Lock()
 	late, doubtful := h.late, h.doubtful
-	h.begun, h.late, h.told, h.out = true, nil, nil, ""
+	h.begun, h.late, h.told, h.out = true, nil, nil, nil
 	h.arm(math.Inf(1), math.Inf(1))
 	taken := slices.Collect(maps.Keys(h.engines))
 	h.mu.Unlock()
--- /dev/null
+++ b/gateway/holds_time_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"ashwood.example/ashwood"
+)
+
+// An attempt that was written stops nothing: without its answer, what other engines hold is released
+// when the time that counts from the answer before is up, or arrivalWait after the write. The engine that
+// it was written to is not told. Every answer begins the time anew, and a timer that comes late then
+// finds nothing due.
+func TestHolds_WrittenIsNotArrived(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		name         string
+		written      time.Duration // behind the first answer
+		answered     time.Duration // behind the write; 0 = not
+		released     time.Duration // behind the first answer
+		alsoToldSelf bool
+	}{
+		{"written early", 10 * ms, 0, 500 * ms, false},
+		{"written late", 450 * ms, 0, 550 * ms, false},
+		{"answered", 400 * ms, 50 * ms, 950 * ms, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := &peer{}
+			in(t, p, func(t *testing.T, g *Gateway) {
+				h := held(g, "q", "r1")
+				h.ended(true)
+				begun := time.Now()
+				time.Sleep(c.written)
+				h.sent(ashwood.Server{ID: "r2"}, false)
+				if c.answered > 0 {
+					time.Sleep(c.answered)
+					h.ended(true)
+					time.Sleep(500*ms - c.written - c.answered + ms)
+					h.overdue()
+				}
+				told := map[string]bool{<-p.freed: true}
+				if d := time.Since(begun); d != c.released {
+					t.Errorf("%v told after %v, want %v", told, d, c.released)
+				}
+				time.Sleep(5 * time.Second)
+				for len(p.freed) > 0 {
+					told[<-p.freed] = true
+				}
+				if !told["r1"] || told["r2"] != c.alsoToldSelf {
+					t.Errorf("told: %v", told)
+				}
+			})
+		})
+	}
+}
+
+// What was released beside an attempt is released again once that has ended without an answer: it may
+// have arrived and waited, and the first release then let go of nothing.
+func TestHolds_ReleasedAgainAfterTheAttempt(t *testing.T) {
+	p := &peer{}
+	in(t, p, func(t *testing.T, g *Gateway) {
+		h := held(g, "q", "r1")
+		h.ended(true)
+		h.sent(ashwood.Server{ID: "w1"}, false)
+		p.wantNext(t, "r1")
+		time.Sleep(time.Second)
+		h.ended(false)
+		told := map[string]bool{}
+		for range 2 {
+			told[<-p.freed] = true
+		}
+		if !told["r1"] || !told["w1"] {
+			t.Errorf("told: %v", told)
+		}
+	})
+}
+
+// The time of a place counts from the asking while the read has no answer. It is released where the
+// read's engine gives no sign, or the engine that was asked knows of no read; not beside a read that is
+// under way, which would lose its state.
+func TestHolds_PlaceBesideAReadWithoutAnswer(t *testing.T) {
+	for name, tt := range map[string]struct {
+		peer     *peer
+		place    Place
+		released time.Duration // 0 = while the read is out it is not
+	}{
+		"no sign":       {&peer{nodes: 2, mute: true}, PlaceHeld, (500 + signProbeWait) * time.Millisecond},
+		"a sign":        {&peer{nodes: 2}, PlaceHeld, 0},
+		"no read known": {&peer{nodes: 2}, PlaceUnknown, 500 * time.Millisecond},
+		"no probes":     {&peer{}, PlaceHeld, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in(t, tt.peer, func(t *testing.T, g *Gateway) {
+				h := g.owner.holds("q")
+				h.sent(ashwood.Server{ID: "r1"}, true)
+				h.reserved(ashwood.Server{ID: "w1"}, g.clock.Now(), tt.place == PlaceHeld)
+				if tt.released > 0 {
+					if d := tt.peer.wantNext(t, "w1"); d != tt.released {
+						t.Errorf("released after %v, want %v", d, tt.released)
+					}
+				} else if time.Sleep(time.Second); len(tt.peer.freed) > 0 {
+					t.Errorf("%s was told", <-tt.peer.freed)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/gateway/probe.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"context"
+
+	"ashwood.example/ashwood"
+)
+
+// signProbeWait bounds a probe in ms that is to tell whether an attempt has arrived: what is held has
+// to be released in time if it is not answered.
+const signProbeWait = 100
+
+// probe asks an engine for its load, for the decisions.
+func (g *Gateway) probe(v ashwood.Server) {
+	status, report := g.ask(v, probeWait)
+	g.router.Probed(v.ID, status, report)
+}
+
+// ask probes an engine in so many ms at most.
+func (g *Gateway) ask(v ashwood.Server, ms float64) (ashwood.Status, ashwood.Report) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	defer g.clock.AfterFunc(ms, cancel)()
+	begun := g.clock.Now()
+	status, report := g.transport.Probe(ctx, v)
+	if answered(status) {
+		g.owner.heard(v)
+	} else {
+		g.owner.unheard(v.ID, "probe")
+	}
+	g.log.Debug("probe", "engine", v.ID, "kind", v.Kind, "status", status, "ms", g.clock.Now()-begun, "report", report)
+	return status, report
+}
+
+// arrived tells whether an attempt has surely reached its engine: that has sent something back well
+// after the last byte was written, or answers a probe now. Where probes are not allowed, the engine
+// that holds a place for the read knows of it, by the protocol.
+func (g *Gateway) arrived(out *outAttempt) bool {
+	if g.router.HeardAt(out.engine.ID) >= out.written+arrivalWait || !g.probes {
+		return true
+	}
+	status, _ := g.ask(out.engine, signProbeWait)
+	return answered(status)
+}
--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -336,8 +336,8 @@
 // cut tells that a stream was left in the middle, unless the engine has died.
 func (c *call) cut(events int) {
 	how := "its stream is left by the caller"
-	if c.over() {
-		how = "dies under its stream"
+	if c.over() || c.conn.wasLost.Load() {
+		how = "dies or resets its stream"
 	} else {
 		c.e.world.check.leftInStream(c.id)
 	}
--- a/lab/soak/link.go
+++ b/lab/soak/link.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -220,7 +221,8 @@
 // linkConn is one connection of a link.
 type linkConn struct {
 	*net.TCPConn
-	link *link
+	link    *link
+	wasLost atomic.Bool // the engine's side has reset it
 }
 
 // Read gives what has come, once the link runs.
@@ -245,6 +247,7 @@
 }
 
 func (c *linkConn) reset() {
+	c.wasLost.Store(true)
 	_ = c.SetLinger(0) // without it the close ends the connection all the same
 	c.Close()
 }
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -24,6 +24,8 @@
 	listen string
 	config string
 
+	writing sync.Mutex // of the configuration
+
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	ended   chan struct{}
@@ -49,6 +51,8 @@
 
 // configure writes the configuration, with the address of the present agent.
 func (g *gateway) configure() error {
+	g.writing.Lock()
+	defer g.writing.Unlock()
 	type object = map[string]any
 	raw, err := json.Marshal(object{
 		"name": fmt.Sprintf("n%d", g.index), "listen": g.listen, "discovery": g.agent.addr(), "seed": fmt.Sprintf("%x", g.world.story.Seed+uint64(g.index)),
