Release what engines may come to hold for attempts given up, beside the answer too

Change: engines of attempts and reservations given up without an answer are told once the answer has begun, in doubt, as at the request's end. Probes may take 400 ms; a place's read is looked at from 200 ms behind the asking; after a sign of an attempt its engine is probed a second later. The soak counts an answer that can't leave its engine as not given.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,8 +19,8 @@
 
 // Times of the calls around an attempt, in milliseconds.
 const (
-	reserveWait = 400 // for the answer to a place asked ahead
-	probeWait   = 250
+	reserveWait = 400  // for the answer to a place asked ahead
+	probeWait   = 400  // an engine that works on long prompts answers none for some 250 ms
 	stopWait    = 3500 // of a begun answer's silence, from when on it may have stopped
 	stopLook    = 250  // between looks at it then
 	stallWait   = 4500 // for its next piece in any case: a client may be left waiting for 5 s (PROTOCOL, Figures)
@@ -228,7 +228,7 @@
 		h.ended(answered(ans.Status))
 	}
 	if ans.Status == ashwood.ConnectionLost || ans.Status == ashwood.CalledOff || ans.Status == ashwood.NoAnswer {
-		h.doubt()
+		h.doubt(step.Engine)
 	}
 	return ans, g.router.Report(req.ID, step.Attempt, ans.Result)
 }
@@ -296,7 +296,7 @@
 			g.owner.heard(v)
 		}
 		if place == PlaceUnknown && ctx.Err() != nil { // given up; an answer that tells nothing ends the call
-			h.doubt()
+			h.doubt(v)
 			g.live.unanswered(v.ID, "reservation")
 		}
 		switch {
--- a/gateway/holds.go
+++ b/gateway/holds.go
@@ -15,6 +15,10 @@
 // has to reach its engine: a release that overtakes it would cost the request its state.
 const arrivalWait = 100
 
+// readSignAfter is how many ms after the asking for a place the read's engine is looked at, where the
+// read has no answer yet: its sign may take signProbeWait, and the place is to be released in time.
+const readSignAfter = 200
+
 // holds are the engines that may hold a state or a place for a request that still
 // wants them. What is held has a time, which counts from the last sign of an engine that an attempt
 // has ended, or from the asking for a place. Nothing that this side writes stops it: bytes written
@@ -30,16 +34,17 @@
 	letting  sync.Mutex // held while overdue lets go
 	mu       sync.Mutex
 	engines  map[ashwood.ServerID]ashwood.Server
-	late     []ashwood.Server // places answered after the read
-	told     []ashwood.Server // in doubt, while the request goes on
-	doubtful bool             // an engine may not have seen an attempt or a call to end
-	begun    bool             // the answer has
-	over     bool             // the request has its final answer
-	out      *outAttempt      // that was written and has not ended; nil = none
-	unread   bool             // an engine asked for a place knows of no read
-	due      float64          // when the time of what is held is up; +Inf = nothing is held, or it has been released
-	fires    float64          // when it is released: then, or arrivalWait later at most
-	stop     func() bool      // the timer of that
+	late     []ashwood.Server                    // places answered after the read
+	told     []ashwood.Server                    // in doubt, while the request goes on
+	doubtful bool                                // an engine may not have seen an attempt or a call to end
+	givenUp  map[ashwood.ServerID]ashwood.Server // these engines; they may come to hold something yet
+	begun    bool                                // the answer has
+	over     bool                                // the request has its final answer
+	out      *outAttempt                         // that was written and has not ended; nil = none
+	unread   bool                                // an engine asked for a place knows of no read
+	due      float64                             // when the time of what is held is up; +Inf = nothing is held, or it has been released
+	fires    float64                             // when that is seen to: then, arrivalWait later at most, or sooner beside a read
+	stop     func() bool                         // the timer of that
 }
 
 // outAttempt is an attempt whose last byte has been written.
@@ -103,7 +108,11 @@
 	h.mu.Lock()
 	h.unread = h.unread || !knowsRead
 	if due := asked + limit; limit > 0 && due < h.due {
-		h.arm(due, due)
+		fires := due
+		if knowsRead && h.owner.g.probes {
+			fires = min(asked+readSignAfter, due)
+		}
+		h.arm(due, fires)
 	}
 	h.mu.Unlock()
 	h.add(v, holdReservation)
@@ -115,22 +124,43 @@
 	h.letting.Lock()
 	defer h.letting.Unlock()
 	h.mu.Lock()
-	due := h.owner.g.clock.Now() >= h.fires
-	if due {
+	out, due := h.out, h.owner.g.clock.Now() >= h.fires
+	beside := out != nil && out.reads && !h.unread
+	switch {
+	case !due:
+	case beside:
+		h.arm(h.due, math.Inf(1))
+	default:
 		h.arm(math.Inf(1), math.Inf(1))
 	}
-	out, unread := h.out, h.unread
+	by := h.due + arrivalWait
 	h.mu.Unlock()
 	switch {
 	case !due:
 	case out == nil:
 		h.release(false)
-	case out.reads && !unread && h.owner.g.arrived(out):
+	case beside:
+		h.owner.g.spawn(func() { h.releaseUnlessRead(out, by) })
 	default:
 		h.releaseBeside(out.engine.ID)
 	}
 }
 
+// releaseUnlessRead releases what is held beside a read whose engine gives no sign, by a time if it can.
+func (h *holds) releaseUnlessRead(out *outAttempt, by float64) {
+	if h.owner.g.arrived(out, by) {
+		return
+	}
+	h.letting.Lock()
+	defer h.letting.Unlock()
+	h.mu.Lock()
+	still := h.out == out
+	h.mu.Unlock()
+	if still {
+		h.releaseBeside(out.engine.ID)
+	}
+}
+
 // releaseBeside has all engines told but the one at which an attempt is out. They stay noted: where the
 // attempt has arrived, they go on holding what it waits for.
 func (h *holds) releaseBeside(out ashwood.ServerID) {
@@ -171,11 +201,16 @@
 }
 
 // doubt tells that an attempt or a call for a place was given up: its engine may
-// see that only after a release.
-func (h *holds) doubt() {
+// see that only after a release, and one that is silent may read and carry out what was
+// written to it much later.
+func (h *holds) doubt(v ashwood.Server) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.doubtful = true
+	if h.givenUp == nil {
+		h.givenUp = map[ashwood.ServerID]ashwood.Server{}
+	}
+	h.givenUp[v.ID] = v
 }
 
 // addLate notes a writer whose place was answered only after the read. The call
@@ -196,10 +231,14 @@
 	}
 }
 
-// begin tells that the answer has begun, with which all else that is held goes.
+// begin tells that the answer has begun, with which all else that is held goes. What engines may
+// come to hold later, for attempts and calls that were given up, does not.
 func (h *holds) begin() {
 	h.mu.Lock()
 	late, doubtful := h.late, h.doubtful
+	for _, v := range h.givenUp {
+		late = append(late, v)
+	}
 	h.begun, h.late, h.told, h.out = true, nil, nil, nil
 	h.arm(math.Inf(1), math.Inf(1))
 	taken := slices.Collect(maps.Keys(h.engines))
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -6,10 +6,6 @@
 	"ashwood.example/ashwood"
 )
 
-// signProbeWait bounds a probe in ms that is to tell whether an attempt has arrived: what is held has
-// to be released in time if it is not answered.
-const signProbeWait = 100
-
 // probe asks an engine for its load, for the decisions.
 func (g *Gateway) probe(v ashwood.Server) {
 	status, report := g.ask(v, probeWait)
@@ -33,12 +29,12 @@
 }
 
 // arrived tells whether an attempt has surely reached its engine: that has sent something back well
-// after the last byte was written, or answers a probe now. Where probes are not allowed, the engine
-// that holds a place for the read knows of it, by the protocol.
-func (g *Gateway) arrived(out *outAttempt) bool {
+// after the last byte was written, or answers a probe now, by a time. Where probes are not allowed, the
+// engine that holds a place for the read knows of it, by the protocol.
+func (g *Gateway) arrived(out *outAttempt, by float64) bool {
 	if g.router.HeardAt(out.engine.ID) >= out.written+arrivalWait || !g.probes {
 		return true
 	}
-	status, _ := g.ask(out.engine, signProbeWait)
+	status, _ := g.ask(out.engine, max(min(probeWait, by-g.clock.Now()), 0))
 	return answered(status)
 }
--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -217,6 +217,7 @@
 		c.lose(r.Context())
 	}
 	time.Sleep(late)
+	c.conn.link.pass() // an answer that can't leave has not been given
 	c.ends(how, turned)
 	if turned {
 		w.Header().Set(headerTurned, "1")
--- a/silence.go
+++ b/silence.go
@@ -13,13 +13,17 @@
 
 const (
 	// signWait is how long nothing is heard from a server with an attempt until it is probed.
-	signWait = 150 * time.Millisecond
+	signWait = 200 * time.Millisecond
 	// signAnswer is for how long a probe is unanswered at the least to count as such: one that
-	// fails sooner tells of a connection, or of this node.
-	signAnswer = 200 * time.Millisecond
+	// fails sooner tells of a connection, or of this node. A server that works on long prompts
+	// answers after some 250 ms.
+	signAnswer = 300 * time.Millisecond
 	// signHeldUp is for how long at the most: beyond, this node was held up itself, and the
 	// answer may have been there.
-	signHeldUp = 400 * time.Millisecond
+	signHeldUp = 600 * time.Millisecond
+	// signEvery is how long nothing is heard from a server until it is probed again, once it has
+	// given a sign of an attempt: that has arrived.
+	signEvery = time.Second
 	// backAfter is the silence behind which a server that is heard counts as back, and backWait is
 	// what its open answers then have to go on as well: they do not all at the same moment.
 	backAfter = time.Second
@@ -51,10 +55,12 @@
 	if !a.out || a.begun {
 		return
 	}
-	v := a.srv
-	quiet := s.now - max(v.heardAt, a.sent)
-	if quiet < signWait {
-		s.after(signWait-quiet, timer{id: r.ID, what: lookForSign, attempt: n})
+	v, wait := a.srv, signWait
+	if v.heardAt > a.sent+signWait/2 { // not of what was under way already
+		wait = signEvery
+	}
+	if quiet := s.now - max(v.heardAt, a.sent); quiet < wait {
+		s.after(wait-quiet, timer{id: r.ID, what: lookForSign, attempt: n})
 		return
 	}
 	if s.now-v.signAsked >= signHeldUp {
