Try each release once at an engine without answers; tell engines what is left when sent

A hung engine takes releases and answers none; the ledger tried only the one owed longest there, so that a reservation made at another request's cost stood to the end. And releases before a send took 0.2 s of the client's time, which its engine was told as left (8.364 s with 8.162 s). Change: the first try of each release is made at once, four at a time, at an engine that does not answer as well; further tries one at a time, least tried first. A step's time is shortened by what passed since it was decided. The time told is red without its change (2,400 ms with 2,200 left). The soak reserves ports, lets a begun answer wait for nothing, and counts a state left by a given-up read from when its engine can be reached.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -145,6 +145,7 @@
 	if err != nil {
 		return Reply{}, err
 	}
+	planned := g.clock.Now() // the step
 	h := g.owner.holds(req.ID)
 	var last error
 	reason := "first"
@@ -156,6 +157,7 @@
 		switch step.Kind {
 		case ashwood.StepSend:
 			h.overdue()
+			step.Timeout -= g.clock.Now() - planned // releases may have taken their time
 			g.record(req, step, reqlog.Attempt, reason)
 			ans, next := g.attempt(ctx, req, step, h)
 			reason = "after " + statusName(ans.Status)
@@ -170,9 +172,9 @@
 			if ans.Stream != nil {
 				return Reply{Kind: Served, Stream: ans.Stream}, nil
 			}
-			step = next
+			step, planned = next, g.clock.Now()
 		case ashwood.StepRelease:
-			step = g.router.Next(req.ID)
+			step, planned = g.router.Next(req.ID), g.clock.Now()
 		case ashwood.StepRefuse:
 			return Reply{Kind: Refused, RetryAfter: step.RetryAfter, Why: step.Why, Err: last}, nil
 		case ashwood.StepFail:
--- a/gateway/holds_time_test.go
+++ b/gateway/holds_time_test.go
@@ -105,3 +105,25 @@
 		})
 	}
 }
+
+// An attempt tells its engine what its client has left when it is sent, not when it was decided
+// upon: releases before it take their time.
+func TestServe_TimeToldBehindASlowRelease(t *testing.T) {
+	p := &peer{place: PlaceUnasked, silent: map[ashwood.ServerID]int{"r1": 9, "r2": 9, "w1": 9}, answers: map[ashwood.ServerID][]Answer{
+		"r1": {answer(ashwood.Parsed)}, "w1": {{Result: ashwood.Result{Status: ashwood.TurnedAway, Note: 1}}}}}
+	in(t, p, func(t *testing.T, g *Gateway) {
+		g.Update(ashwood.ListPatch, []ashwood.Server{{ID: "r2", Kind: "r", State: ashwood.StateOn}})
+		begun := time.Now()
+		p.before = func(ashwood.Server) { time.Sleep(300 * time.Millisecond) } // as reads take
+		go g.Serve(t.Context(), request("chat"))
+		<-p.hanging
+		waited := float64(time.Since(begun).Milliseconds()) - 300 // the transport's own
+		p.mu.Lock()
+		last := p.told[len(p.told)-1]
+		p.mu.Unlock()
+		if want := request("chat").Remaining - waited; waited < releaseWait || last > want {
+			t.Errorf("told %v ms, %v ms behind the begin; want %v at most", last, waited, want)
+		}
+		time.Sleep(20 * time.Second)
+	})
+}
--- a/internal/release/ledger.go
+++ b/internal/release/ledger.go
@@ -5,7 +5,7 @@
 //
 // What is owed stays owed until an engine that runs has got the call, the engine
 // is known to have started anew, or one of the bounds in Config is met. An engine
-// that does not answer gets one call at a time, however many requests it may hold
+// that does not answer gets each call once and then one at a time, however many requests it may hold
 // something for; once one has got through, the others follow at once.
 //
 // A release lets go only of what no attempt waits for. Where an attempt has just
@@ -191,28 +191,50 @@
 }
 
 // Due gives the calls to be made now, and in how many ms to ask again if nothing
-// else happens before; +Inf = not before.
+// else happens before; +Inf = not before. At an engine that does not answer, further tries go to
+// the release tried least: the first try of each is made all the same, as an engine may run, take
+// calls and answer none.
 func (l *Ledger) Due(now float64) (calls []Call, next float64) {
 	next = math.Inf(1)
+	again := map[*engine]*debt{}
 	for p := l.order.Front(); p != nil; p = p.Next() {
 		d := p.Value.(*debt)
 		e := l.engines[d.key.Engine]
 		switch {
-		case d.out > 0 || e.out >= atOnce || e.fails > 0 && e.out > 0:
+		case d.out > 0 || e.out >= atOnce:
 		case now < d.from:
 			next = min(next, d.from-now)
-		case e.fails > 0 && now < e.next:
+		case e.fails == 0 || d.tries == 0:
+			calls = append(calls, l.call(e, d))
+		case e.out > 0:
+		case now < e.next:
 			next = min(next, e.next-now)
-		default:
-			l.calls++
-			d.out, e.out = l.calls, e.out+1
-			calls = append(calls, Call{Key: d.key, Engine: e.Server, Try: max(d.tries, e.fails), number: l.calls})
-			d.tries++
+		case again[e] == nil || d.tries < again[e].tries:
+			again[e] = d
+		}
+	}
+	for p := l.order.Front(); p != nil && len(again) > 0; p = p.Next() {
+		d := p.Value.(*debt)
+		e := l.engines[d.key.Engine]
+		if again[e] == d {
+			delete(again, e)
+			if e.out == 0 {
+				calls = append(calls, l.call(e, d))
+			}
 		}
 	}
 	return calls, next
 }
 
+// call begins a call.
+func (l *Ledger) call(e *engine, d *debt) Call {
+	l.calls++
+	d.out, e.out = l.calls, e.out+1
+	c := Call{Key: d.key, Engine: e.Server, Try: max(d.tries, e.fails), number: l.calls}
+	d.tries++
+	return c
+}
+
 // Void tells that a call was ended by its caller: it says nothing of its engine.
 func (l *Ledger) Void(c Call) {
 	if l.back(c) == nil {
--- a/lab/soak/checker.go
+++ b/lab/soak/checker.go
@@ -111,8 +111,9 @@
 
 // hold is a KV state or a reservation at an engine.
 type hold struct {
-	place bool
-	since time.Time
+	place   bool
+	unknown bool // its attempt had been given up before
+	since   time.Time
 }
 
 // attempt is one that an engine which runs has read.
@@ -122,6 +123,7 @@
 	conn      *linkConn
 	over      bool
 	turned    bool // away: it never ran
+	begun     bool // its answer has: it waits for nothing more
 	overlapAt time.Time
 }
 
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -162,6 +162,7 @@
 		g.mu.Unlock()
 		g.signal(syscall.SIGCONT)
 		g.kill()
+		g.port.release()
 	}
 	w.mu.Lock()
 	agents := w.agents
