Take no read for arrived without probes or a place that knows of it

Change: without probes, only an engine that has answered that it holds a place for the read shows that it is known.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -306,7 +306,7 @@
 		case reading.Err() != nil:
 			h.addLate(v)
 		default:
-			h.reserved(v, asked, place == PlaceHeld || ctx.Err() != nil)
+			h.reserved(v, asked, reservationAnswer(place, ctx.Err() != nil))
 		}
 		if place == PlaceUnknown || place == PlaceUnasked {
 			return
@@ -315,6 +315,16 @@
 	}
 }
 
+func reservationAnswer(place Place, givenUp bool) reservation {
+	switch {
+	case place == PlaceHeld:
+		return reservationHeld
+	case givenUp:
+		return reservationNoAnswer
+	}
+	return reservationUnknown
+}
+
 // guard keeps a panic beside a request from ending the process.
 func (g *Gateway) guard(f func()) {
 	defer func() {
--- a/gateway/holds.go
+++ b/gateway/holds.go
@@ -42,11 +42,21 @@
 	over     bool                                // the request has its final answer
 	out      *outAttempt                         // that was written and has not ended; nil = none
 	unread   bool                                // an engine asked for a place knows of no read
+	known    bool                                // one that holds a place knows of it
 	due      float64                             // when the time of what is held is up; +Inf = nothing is held, or it has been released
 	fires    float64                             // when that is seen to: then, arrivalWait later at most, or sooner beside a read
 	stop     func() bool                         // the timer of that
 }
 
+// reservation is what an engine has answered to the asking for a place that it may hold.
+type reservation int
+
+const (
+	reservationHeld     reservation = iota
+	reservationUnknown              // it knows of no read; it may hold a place all the same
+	reservationNoAnswer             // in time
+)
+
 // outAttempt is an attempt whose last byte has been written.
 type outAttempt struct {
 	engine  ashwood.Server
@@ -76,7 +86,7 @@
 func (h *holds) sent(v ashwood.Server, reads bool) {
 	now := h.owner.g.clock.Now()
 	h.mu.Lock()
-	h.out, h.unread = &outAttempt{engine: v, reads: reads, written: now}, false
+	h.out, h.unread, h.known = &outAttempt{engine: v, reads: reads, written: now}, false, false
 	if reached := now + arrivalWait; reached > h.fires {
 		h.arm(h.due, min(reached, h.due+arrivalWait))
 	}
@@ -101,15 +111,16 @@
 	h.arm(due, due)
 }
 
-// reserved notes an engine that may hold a place asked for at a time, while the prompt is being read.
-// Where the engine has answered that it knows of no read, that has not arrived.
-func (h *holds) reserved(v ashwood.Server, asked float64, knowsRead bool) {
+// reserved notes an engine that may hold a place asked for at a time, while the prompt is being read:
+// one that has answered that it does, that it knows of no read, which has not arrived then, or nothing.
+func (h *holds) reserved(v ashwood.Server, asked float64, answer reservation) {
 	limit := h.owner.g.holdTime
 	h.mu.Lock()
-	h.unread = h.unread || !knowsRead
+	h.unread = h.unread || answer == reservationUnknown
+	h.known = h.known || answer == reservationHeld
 	if due := asked + limit; limit > 0 && due < h.due {
 		fires := due
-		if knowsRead && h.owner.g.probes {
+		if answer != reservationUnknown && h.owner.g.probes {
 			fires = min(asked+readSignAfter, due)
 		}
 		h.arm(due, fires)
@@ -133,22 +144,22 @@
 	default:
 		h.arm(math.Inf(1), math.Inf(1))
 	}
-	by := h.due + arrivalWait
+	by, known := h.due+arrivalWait, h.known
 	h.mu.Unlock()
 	switch {
 	case !due:
 	case out == nil:
 		h.release(false)
 	case beside:
-		h.owner.g.spawn(func() { h.releaseUnlessRead(out, by) })
+		h.owner.g.spawn(func() { h.releaseUnlessRead(out, known, by) })
 	default:
 		h.releaseBeside(out.engine.ID)
 	}
 }
 
 // releaseUnlessRead releases what is held beside a read whose engine gives no sign, by a time if it can.
-func (h *holds) releaseUnlessRead(out *outAttempt, by float64) {
-	if h.owner.g.arrived(out, by) {
+func (h *holds) releaseUnlessRead(out *outAttempt, known bool, by float64) {
+	if h.owner.g.arrived(out, known, by) {
 		return
 	}
 	h.letting.Lock()
--- a/gateway/holds_time_test.go
+++ b/gateway/holds_time_test.go
@@ -82,18 +82,20 @@
 	for name, tt := range map[string]struct {
 		peer     *peer
 		place    Place
+		late     bool
 		released time.Duration // 0 = while the read is out it is not
 	}{
-		"no sign":       {&peer{nodes: 2, mute: true}, PlaceHeld, (readSignAfter + probeWait) * time.Millisecond},
-		"a sign":        {&peer{nodes: 2}, PlaceHeld, 0},
-		"no read known": {&peer{nodes: 2}, PlaceUnknown, 500 * time.Millisecond},
-		"no probes":     {&peer{}, PlaceHeld, 0},
+		"no sign":        {&peer{nodes: 2, mute: true}, PlaceHeld, false, (readSignAfter + probeWait) * time.Millisecond},
+		"a sign":         {&peer{nodes: 2}, PlaceHeld, false, 0},
+		"no read known":  {&peer{nodes: 2}, PlaceUnknown, false, 500 * time.Millisecond},
+		"no probes":      {&peer{}, PlaceHeld, false, 0},
+		"no word at all": {&peer{}, PlaceUnknown, true, 500 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			in(t, tt.peer, func(t *testing.T, g *Gateway) {
 				h := g.owner.holds("q")
 				h.sent(ashwood.Server{ID: "r1"}, true)
-				h.reserved(ashwood.Server{ID: "w1"}, g.clock.Now(), tt.place == PlaceHeld)
+				h.reserved(ashwood.Server{ID: "w1"}, g.clock.Now(), reservationAnswer(tt.place, tt.late))
 				if tt.released > 0 {
 					if d := tt.peer.wantNext(t, "w1"); d != tt.released {
 						t.Errorf("released after %v, want %v", d, tt.released)
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -28,12 +28,15 @@
 	return status, report
 }
 
-// arrived tells whether an attempt has surely reached its engine: that has sent something back well
-// after the last byte was written, or answers a probe now, by a time. Where probes are not allowed, the
+// arrived tells whether a read has surely reached its engine: that has sent something back well
+// after the last byte was written, or answers a probe now, by a time. Where probes are not allowed, an
 // engine that holds a place for the read knows of it, by the protocol.
-func (g *Gateway) arrived(out *outAttempt, by float64) bool {
-	if g.router.HeardAt(out.engine.ID) >= out.written+arrivalWait || !g.probes {
+func (g *Gateway) arrived(out *outAttempt, known bool, by float64) bool {
+	switch {
+	case g.router.HeardAt(out.engine.ID) >= out.written+arrivalWait:
 		return true
+	case !g.probes:
+		return known
 	}
 	status, _ := g.ask(out.engine, max(min(probeWait, by-g.clock.Now()), 0))
 	return answered(status)
--- a/lab/soak/events.go
+++ b/lab/soak/events.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -76,15 +77,19 @@
 
 // freeze has the links to an engine from some gateways fall silent, or run again.
 func (w *world) freeze(e *engine, gateways []int, cut, on bool) {
+	var all sync.WaitGroup // to fill a queue of connections takes its time
 	for _, g := range gateways {
-		if on {
-			w.check.reaches(g, e.index, false)
-			e.links[g].freeze(cut)
-		} else {
-			e.links[g].thaw(cut)
-			w.check.reaches(g, e.index, e.links[g].open())
-		}
+		all.Go(func() {
+			if on {
+				w.check.reaches(g, e.index, false)
+				e.links[g].freeze(cut)
+			} else {
+				e.links[g].thaw(cut)
+				w.check.reaches(g, e.index, e.links[g].open())
+			}
+		})
 	}
+	all.Wait()
 }
 
 func (w *world) allGateways() []int {
@@ -99,8 +104,8 @@
 func (w *world) begin(e *engine, event Event) {
 	switch event.Kind {
 	case EngineStops, EngineVanishes:
-		e.stop()
 		w.freeze(e, w.allGateways(), event.Kind == EngineVanishes, true)
+		e.stop()
 	case Cut:
 		w.freeze(e, event.Gateways, true, true)
 	case ResetsOpen:
