Probe for signs by role: decode engines within 0.35 s, in time for the state that waits

Change: a decode engine is probed 0.15 s behind the write and left 0.2 s later, a prefill engine after 0.2 s and 0.4 s; the module's own timer says when, not the end of the probe.

--- a/silence.go
+++ b/silence.go
@@ -12,15 +12,17 @@
 // A slow answer of a server that answers probes is no silence, and costs a probe now and then.
 
 const (
-	// signWait is how long nothing is heard from a server with an attempt until it is probed.
-	signWait = 200 * time.Millisecond
-	// signAnswer is for how long a probe is unanswered at the least to count as such: one that
-	// fails sooner tells of a connection, or of this node. A server that works on long prompts
-	// answers after some 250 ms.
-	signAnswer = 300 * time.Millisecond
-	// signHeldUp is for how long at the most: beyond, this node was held up itself, and the
-	// answer may have been there.
-	signHeldUp = 600 * time.Millisecond
+	// signWait is how long nothing is heard from a server with an attempt until it is probed, and
+	// signAnswer how long the probe may take. A server answers between the steps of its work:
+	// those that read take up to 0.25 s for one, those that write some 0.02 s. Writers are left in
+	// time for another to take the state that waits for them (Rules.Release, 0.5 s).
+	signWaitRead    = 200 * time.Millisecond
+	signWaitWrite   = 150 * time.Millisecond
+	signAnswerRead  = 400 * time.Millisecond
+	signAnswerWrite = 200 * time.Millisecond
+	// signHeldUp is by how much later an unanswered probe is looked at at the most: beyond, this
+	// node was held up itself, and the answer may have been there.
+	signHeldUp = 150 * time.Millisecond
 	// signEvery is how long nothing is heard from a server until it is probed again, once it has
 	// given a sign of an attempt: that has arrived.
 	signEvery = time.Second
@@ -30,6 +32,14 @@
 	backWait  = 100 * time.Millisecond
 )
 
+// signTimes are those of a server's role.
+func (v *server) signTimes() (wait, answer time.Duration) {
+	if v.role == RoleRead {
+		return signWaitRead, signAnswerRead
+	}
+	return signWaitWrite, signAnswerWrite
+}
+
 // hear notes that a server has sent something back.
 func (v *server) hear(now time.Duration) {
 	if now-v.heardAt > backAfter {
@@ -44,40 +54,48 @@
 // watchSign has an attempt looked after, where that is of use.
 func (s *Scheduler) watchSign(r *request, n int) {
 	if s.set.Limits.Probes && s.set.Limits.Cancel {
-		s.after(signWait, timer{id: r.ID, what: lookForSign, attempt: n})
+		wait, _ := r.attempts[n].srv.signTimes()
+		s.after(wait, timer{id: r.ID, what: lookForSign, attempt: n})
 	}
 }
 
 // lookForSign probes the server of an attempt that has no answer, once nothing has been heard
-// from it for a while, and looks again.
+// from it for a while, and looks again when the probe should have been answered.
 func (s *Scheduler) lookForSign(r *request, n int) {
 	a := r.attempts[n]
-	if !a.out || a.begun {
+	if !a.out || a.begun || a.silent {
+		return
+	}
+	v := a.srv
+	wait, answer := v.signTimes()
+	again := func(d time.Duration) { s.after(d, timer{id: r.ID, what: lookForSign, attempt: n}) }
+	asked := s.now - v.signAsked
+	switch pending := v.signAsked > a.sent && v.heardAt < v.signAsked; {
+	case pending && asked < answer:
+		again(answer - asked)
+		return
+	case pending && asked <= answer+signHeldUp:
+		s.silent(v)
 		return
 	}
-	v, wait := a.srv, signWait
-	if v.heardAt > a.sent+signWait/2 { // not of what was under way already
+	if v.heardAt > a.sent+wait/2 { // not of what was under way already
 		wait = signEvery
 	}
 	if quiet := s.now - max(v.heardAt, a.sent); quiet < wait {
-		s.after(wait-quiet, timer{id: r.ID, what: lookForSign, attempt: n})
+		again(wait - quiet)
 		return
 	}
-	if s.now-v.signAsked >= signHeldUp {
+	if asked >= answer+signHeldUp {
 		v.signAsked = s.now
 		s.act(Probe{v.ID})
 	}
-	s.after(signWait, timer{id: r.ID, what: lookForSign, attempt: n})
+	again(answer)
 }
 
-// signed takes in whether a probe of a server was answered, in whatever way.
+// signed takes in that a server has answered a probe, in whatever way.
 func (s *Scheduler) signed(v *server, status Status) {
-	took := s.now - v.signAsked
-	switch {
-	case status == Served || status == ServerError || status == TurnedAway:
+	if status == Served || status == ServerError || status == TurnedAway {
 		v.hear(s.now)
-	case v.heardAt < v.signAsked && took >= signAnswer && took <= signHeldUp:
-		s.silent(v)
 	}
 }
 
