--- a/cmd/ashwood/shutdown_test.go
+++ b/cmd/ashwood/shutdown_test.go
@@ -232,3 +232,29 @@
 		}
 	}
 }
+
+// Connections that wait in the system's queue when a process that was stopped finds itself told to
+// end are accepted first: their clients, who have written requests, see an answer or a clean end.
+func TestShutdown_ConnectionsInTheQueue(t *testing.T) {
+	const clients = 12
+	s := newSite(t)
+	close(s.step)
+	p := s.begin().ready()
+	p.cmd.Process.Signal(syscall.SIGSTOP)
+	d := p.stop()
+	for i := range clients {
+		id := fmt.Sprint("queued-", i)
+		c := s.raw()
+		c.write(orderText(id))
+		d.follow(id, c)
+	}
+	d.clients.Go(func() {
+		<-time.After(time.Until(d.told.Add(exemptFor)))
+		p.cmd.Process.Signal(syscall.SIGCONT)
+	})
+	for id, o := range d.kill() {
+		if !o.settled() {
+			t.Errorf("%s: %v", id, o.err)
+		}
+	}
+}
--- a/internal/platform/closing.go
+++ b/internal/platform/closing.go
@@ -1,8 +1,10 @@
 package platform
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
 	"time"
 )
 
@@ -142,6 +144,42 @@
 	l.forget(c)
 }
 
+// queueWait is for how long the connections that wait in the system's queue are accepted at the end.
+const queueWait = 20 * time.Millisecond
+
+// takeQueue accepts the connections that wait in the system's queue, and then ends Accept: the
+// close of the listener would reset them, with the requests that their clients have written.
+func (l *listener) takeQueue() {
+	bounded, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	l.queueTaken = make(chan struct{})
+	l.mu.Unlock()
+	if bounded.SetDeadline(time.Now().Add(queueWait)) != nil {
+		return // it has been closed
+	}
+	select {
+	case <-l.queueTaken:
+	case <-time.After(lingerTime): // it waits for room
+	}
+}
+
+// queueIsTaken tells whether an error of Accept is the end that takeQueue has set.
+func (l *listener) queueIsTaken(err error) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.queueTaken == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	if !l.ended {
+		l.ended = true
+		close(l.queueTaken)
+	}
+	return true
+}
+
 // closeIdle closes the connections without a request, now and as they come, and counts them.
 func (l *listener) closeIdle() (closed int) {
 	l.mu.Lock()
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -37,17 +37,18 @@
 	give  atomic.Pointer[Give] // to another process; nil = answers end here
 	log   *slog.Logger
 
-	mu        sync.Mutex
-	limit     int // for this one of several
-	open      int
-	waiting   list.List    // of *clientConn without an open request, longest first
-	lent      atomic.Int64 // bytes that connections have read far ahead
-	closing   int          // that have left the count, and whose descriptors are there yet
-	lingering list.List    // of these, *clientConn whose clients may still send, the first first
-	woken     sync.Cond    // a descriptor is gone
-	ended     bool
-	stopped   bool                      // connections without a request are closed at once
-	readBy    atomic.Pointer[time.Time] // no request is read for longer; nil = not told
+	mu         sync.Mutex
+	limit      int // for this one of several
+	open       int
+	waiting    list.List    // of *clientConn without an open request, longest first
+	lent       atomic.Int64 // bytes that connections have read far ahead
+	closing    int          // that have left the count, and whose descriptors are there yet
+	lingering  list.List    // of these, *clientConn whose clients may still send, the first first
+	woken      sync.Cond    // a descriptor is gone
+	ended      bool
+	queueTaken chan struct{}             // closed once the system's queue is empty at the end; nil = not asked for
+	stopped    bool                      // connections without a request are closed at once
+	readBy     atomic.Pointer[time.Time] // no request is read for longer; nil = not told
 }
 
 // busyShare is the part of a listener's connections that may have a request
@@ -97,6 +98,9 @@
 		}
 		l.mu.Unlock()
 		nc, err := l.Listener.Accept()
+		if err != nil && l.queueIsTaken(err) {
+			return nil, net.ErrClosed
+		}
 		if err == nil || l.most == 0 || errors.Is(err, net.ErrClosed) {
 			return nc, err
 		}
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -99,6 +99,7 @@
 // are closed here: the library's own sweep compares readings of the wall clock, and leaves new
 // connections that have brought nothing for 5 s.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.in.takeQueue()
 	closed := s.in.closeIdle()
 	s.log.Info("shutdown: connections without a request are closed", "count", closed)
 	err := s.http.ShutdownWithContext(ctx)
--- a/lab/soak/checker.go
+++ b/lab/soak/checker.go
@@ -83,6 +83,7 @@
 	told     map[[2]int]time.Time // gateway, engine: since when the gateway knows that it drains
 	openFrom map[[2]int]time.Time // gateway, engine: since when the engine can be reached; none = it can't
 	pauses   [][]pause            // by gateway
+	lags     []pause              // of the machine
 	died     []time.Time          // by gateway, the latest
 	cold     map[int]*coldEngine
 	breaks   []Break
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -133,6 +133,7 @@
 			w.check.sweep()
 		}
 	})
+	all.Go(func() { w.check.watchLag(running) })
 	asking, over := context.WithTimeout(running, w.story.Length)
 	for i, c := range w.story.Clients {
 		clients.Go(func() { w.newClient(i, c).run(asking) })
--- /dev/null
+++ b/lab/soak/soak_test.go
@@ -0,0 +1,56 @@
+package soak
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+)
+
+// The seeds that are played wherever tests are, the first of them in short runs. The first ten
+// have each shown a fault: 6 a hung engine's releases, 7 and 8 reads given up and read later, 13
+// the same where reads outlive their callers, 100 reads without probes, 110 many gateways.
+var seeds = []uint64{6, 7, 8, 13, 100, 110, 10, 12, 2, 3, 14, 20}
+
+const (
+	shortSeeds   = 4
+	storyLength  = 5 * time.Second
+	storiesAtOne = 3 // played at once: more would be late for want of processors
+)
+
+// Whatever overlaps, every rule is kept.
+func TestSoak(t *testing.T) {
+	list := seeds
+	if testing.Short() {
+		list = list[:shortSeeds]
+	}
+	room := make(chan struct{}, storiesAtOne)
+	for _, seed := range list {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			room <- struct{}{}
+			defer func() { <-room }()
+			rep, err := Play(t.Context(), Generate(seed, storyLength), Options{Program: program, LogLevel: "debug"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if rep.Counts.Requests == 0 || rep.Counts.Attempts == 0 {
+				t.Errorf("nothing was played: %+v", rep.Counts)
+			}
+			if !rep.OK() {
+				t.Errorf("%d broken rules:\n%.30000s", len(rep.Breaks), rep)
+			}
+		})
+	}
+}
+
+// A seed gives one story, another seed another.
+func TestGenerate_OneSeedOneStory(t *testing.T) {
+	a, b, other := Generate(5, storyLength), Generate(5, storyLength), Generate(6, storyLength)
+	if !reflect.DeepEqual(a, b) || a.String() != b.String() {
+		t.Errorf("two stories of one seed:\n%s\n%s", a, b)
+	}
+	if reflect.DeepEqual(a.Events, other.Events) {
+		t.Error("two seeds give the same events")
+	}
+}
