Try releases for as long as the process lives; a dead engine of the soak reads nothing

Change: releases at the end go on until 0.5 s behind the time by which all have their answer (the kill is 0.7 s behind it), 2 s at the least. The soak's engines lose what they have not read when they die.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"math"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/internal/clock"
@@ -39,7 +40,8 @@
 	live      *liveness
 	holdLog   *holdLog
 	metrics   *metrics.Set
-	pulses    pulses // of engines with answers open
+	endsAt    atomic.Uint64 // by when all have their answer, as the process ends; bits of ms, 0 = not told
+	pulses    pulses        // of engines with answers open
 }
 
 // New makes a gateway. Run must be running for it to serve.
@@ -113,7 +115,10 @@
 
 // EndBy tells by when, in ms of the clock, each request must have its answer, because the
 // process ends then; see ashwood.Router.
-func (g *Gateway) EndBy(at float64) { g.router.EndBy(at) }
+func (g *Gateway) EndBy(at float64) {
+	g.endsAt.Store(math.Float64bits(at))
+	g.router.EndBy(at)
+}
 
 // TurnAway tells of a request that a front refuses by itself for want of room, and gives
 // how long its client is to stay away, as Pause does.
@@ -245,9 +250,14 @@
 func (g *Gateway) spawn(f func()) { g.beside.Go(func() { g.guard(f) }) }
 
 // Wait waits for what runs beside requests: places asked for, releases, probes.
-// Each ends by itself, releases after releaseStop. It is called once nothing is served any more.
+// Each ends by itself, releases after releaseStop, or where the process has longer to live, then. It is
+// called once nothing is served any more.
 func (g *Gateway) Wait() {
-	defer g.clock.AfterFunc(releaseStop, g.owner.abandon)()
+	patience := float64(releaseStop)
+	if at := math.Float64frombits(g.endsAt.Load()); at > 0 {
+		patience = max(patience, at+releaseRest-g.clock.Now())
+	}
+	defer g.clock.AfterFunc(patience, g.owner.abandon)()
 	g.owner.wait()
 	g.beside.Wait()
 }
--- a/gateway/holds_test.go
+++ b/gateway/holds_test.go
@@ -278,15 +278,20 @@
 
 // At the gateway's end what can't be let go of is given up after releaseStop.
 func TestStopGivesUpWhatNoEngineTakes(t *testing.T) {
-	p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6}}
-	in(t, p, func(t *testing.T, g *Gateway) {
-		held(g, "q", "r1").release(true)
-		begun := time.Now()
-		g.Wait()
-		if d := time.Since(begun); d != releaseStop*time.Millisecond {
-			t.Errorf("given up after %v", d)
-		}
-	})
+	for answersBy, want := range map[float64]float64{0: releaseStop, 100: releaseStop, 3000: 3000 + releaseRest} {
+		p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6}}
+		in(t, p, func(t *testing.T, g *Gateway) {
+			if answersBy > 0 {
+				g.EndBy(g.clock.Now() + answersBy)
+			}
+			held(g, "q", "r1").release(true)
+			begun := time.Now()
+			g.Wait()
+			if d := time.Since(begun); d != time.Duration(want)*time.Millisecond {
+				t.Errorf("answers by %v: given up after %v", answersBy, d)
+			}
+		})
+	}
 }
 
 // An answer that brought one event and no more has stopped where its engine says
--- a/gateway/owner.go
+++ b/gateway/owner.go
@@ -26,6 +26,7 @@
 	releaseEach  = 1.5   // so that a fleet makes no more than some 700 calls a second at one engine
 	releaseAge   = 60000 // after which an engine that takes no call is taken to be gone
 	releaseStop  = 2000  // for what is owed when the gateway ends
+	releaseRest  = 500   // for it behind the time by which all have their answer: the kill is 700 ms behind that
 	releaseMost  = 8192  // owed at once
 	rounds       = 4     // times that others are told for one request, releaseWait apart
 	atATime      = 2     // of them
--- a/lab/soak/checker.go
+++ b/lab/soak/checker.go
@@ -113,7 +113,7 @@
 // hold is a KV state or a reservation at an engine.
 type hold struct {
 	place   bool
-	unknown bool // its attempt had been given up before
+	unknown bool // its attempt or call had been given up before
 	since   time.Time
 }
 
--- a/lab/soak/checker_holds.go
+++ b/lab/soak/checker_holds.go
@@ -9,16 +9,18 @@
 // This file checks what is held, and what engines that have just started are sent.
 
 // holds tells that an engine holds a KV state or a reservation for a request from now on.
-func (c *checker) holds(id string, engine int, place bool, since time.Time) {
+func (c *checker) holds(id string, engine int, h hold) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r := c.requests[id]; r != nil {
 		c.counts.Holds++
-		if place {
+		if h.place {
 			r.dropPlaces(engine)
+		} else {
+			h.unknown = c.out(r, time.Now()) == 0
 		}
-		r.holds[engine] = &hold{place: place, since: since, unknown: !place && c.out(r, time.Now()) == 0}
-		c.note(r, "engine %d holds (reservation: %v)", engine, place)
+		r.holds[engine] = &h
+		c.note(r, "engine %d holds (reservation: %v, given up before: %v)", engine, h.place, h.unknown)
 	}
 }
 
@@ -248,8 +250,8 @@
 	return out
 }
 
-// heldFrom is the time from which a hold counts; counts is false while nobody could release it. A
-// state that came to be held for an attempt that had been given up is known to nobody but its engine,
+// heldFrom is the time from which a hold counts; counts is false while nobody could release it. What
+// came to be held for an attempt or a call that had been given up is known to nobody but its engine,
 // and can't be released before that is reached.
 func (c *checker) heldFrom(r *request, engine int, h *hold) (from time.Time, counts bool) {
 	from = h.since
--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -162,8 +162,8 @@
 
 func (e *engine) attempt(w http.ResponseWriter, r *http.Request, gateway int) {
 	begun, id, conn := time.Now(), r.Header.Get(headerID), connOf(r)
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		abort() // it never was whole
+	if _, err := io.Copy(io.Discard, r.Body); err != nil || conn.wasLost.Load() {
+		abort() // it never was whole, or the engine has died with it unread
 	}
 	left, err := strconv.ParseFloat(r.Header.Get(headerRemaining), 64)
 	if err != nil {
@@ -245,7 +245,7 @@
 		c.ends("is left by its caller in its read", false)
 		abort()
 	}
-	check.holds(c.id, e.index, false, time.Now())
+	check.holds(c.id, e.index, hold{since: time.Now()})
 	c.answer(w, r, http.StatusAccepted, "has read the prompt", false, `{"cached_tokens":0}`)
 }
 
@@ -354,7 +354,7 @@
 	case e.chance(placeRefusals):
 		w.WriteHeader(http.StatusConflict)
 	case story.BlindPlaces || check.reading(id):
-		check.holds(id, e.index, true, asked)
+		check.holds(id, e.index, hold{place: true, unknown: connOf(r).ended(), since: asked})
 		w.WriteHeader(http.StatusOK)
 	case e.does(r.Context(), unknownAfter):
 		w.WriteHeader(http.StatusNoContent)
--- a/lab/soak/link.go
+++ b/lab/soak/link.go
@@ -27,6 +27,7 @@
 	conns   map[*linkConn]struct{}
 	closed  chan struct{}
 	up      chan struct{} // closed while the process listens
+	down    bool          // it does not
 }
 
 func openLink() (*link, error) {
@@ -49,7 +50,7 @@
 // die is the end of the engine's process: connections are reset, new ones refused.
 func (k *link) die() {
 	k.mu.Lock()
-	k.up = make(chan struct{})
+	k.up, k.down = make(chan struct{}), true
 	k.l.Close()
 	k.mu.Unlock()
 	k.resetAll()
@@ -63,7 +64,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.l = l
+	k.l, k.down = l, false
 	if k.cuts > 0 {
 		k.fill()
 	}
@@ -159,7 +160,7 @@
 func (k *link) open() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.frozen == 0
+	return k.frozen == 0 && !k.down
 }
 
 // Accept is for net/http.
