Tell engines of given up attempts again beside the next one, until it is sent on

The soak's engines look at stops and hangs together. Result: TestHolds_GivenUpBesideTheNext; gateway tests.

--- a/gateway/holds.go
+++ b/gateway/holds.go
@@ -173,21 +173,35 @@
 }
 
 // releaseBeside has all engines told but the one at which an attempt is out. They stay noted: where the
-// attempt has arrived, they go on holding what it waits for.
+// attempt has arrived, they go on holding what it waits for. At those where an attempt was given up
+// before, the release is in doubt until the request is sent somewhere else.
 func (h *holds) releaseBeside(out ashwood.ServerID) {
 	h.mu.Lock()
-	var engines []ashwood.Server
+	var sure, doubtful []ashwood.Server
 	for id, v := range h.engines {
-		if id != out {
-			engines = append(engines, v)
+		_, givenUp := h.givenUp[id]
+		switch {
+		case id == out:
+		case givenUp:
+			doubtful = append(doubtful, v)
+		default:
+			sure = append(sure, v)
 		}
 	}
+	h.told = append(h.told, doubtful...)
 	h.mu.Unlock()
-	if len(engines) == 0 {
+	if len(sure)+len(doubtful) == 0 {
 		return
 	}
-	h.owner.g.holdLog.unsettled(h.key(out), len(engines))
-	h.owner.settle(h.id, engines, false)()
+	h.owner.g.holdLog.unsettled(h.key(out), len(sure)+len(doubtful))
+	var all sync.WaitGroup
+	if len(sure) > 0 {
+		all.Go(h.owner.settle(h.id, sure, false))
+	}
+	if len(doubtful) > 0 {
+		all.Go(h.owner.settle(h.id, doubtful, true))
+	}
+	all.Wait()
 }
 
 // add notes an engine. After the final answer it is to be told at once.
--- a/gateway/holds_time_test.go
+++ b/gateway/holds_time_test.go
@@ -75,6 +75,33 @@
 	})
 }
 
+// An engine at which an attempt was given up may read it after the release beside the next: it is told
+// again, until the request is sent somewhere else.
+func TestHolds_GivenUpBesideTheNext(t *testing.T) {
+	for _, sentOn := range []bool{false, true} {
+		p := &peer{}
+		in(t, p, func(t *testing.T, g *Gateway) {
+			h := held(g, "q", "r1")
+			h.doubt(ashwood.Server{ID: "r1"})
+			h.ended(true)
+			h.sent(ashwood.Server{ID: "w1"}, false)
+			p.wantNext(t, "r1")
+			if sentOn {
+				h.sent(ashwood.Server{ID: "w2"}, false)
+				time.Sleep(time.Second)
+				if len(p.freed) > 0 {
+					t.Errorf("%s was told beside what was sent since", <-p.freed)
+				}
+				return
+			}
+			if d := p.wantNext(t, "r1"); d != againFirst*time.Millisecond {
+				t.Errorf("told again after %v", d)
+			}
+			p.wantNext(t, "r1")
+		})
+	}
+}
+
 // The time of a place counts from the asking while the read has no answer. It is released where the
 // read's engine gives no sign, or the engine that was asked knows of no read; not beside a read that is
 // under way, which would lose its state.
--- a/lab/soak/checker_holds.go
+++ b/lab/soak/checker_holds.go
@@ -16,8 +16,6 @@
 		c.counts.Holds++
 		if h.place {
 			r.dropPlaces(engine)
-		} else {
-			h.unknown = c.out(r, time.Now()) == 0
 		}
 		r.holds[engine] = &h
 		c.note(r, "engine %d holds (reservation: %v, given up before: %v)", engine, h.place, h.unknown)
--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -135,17 +135,30 @@
 	case <-ctx.Done():
 		return false
 	}
-	e.mu.Lock()
-	running, work := e.running, e.work
-	e.mu.Unlock()
-	for _, wait := range []chan struct{}{running, work} {
+	for {
+		wait := e.held()
+		if wait == nil {
+			return true
+		}
 		select {
 		case <-wait:
 		case <-ctx.Done():
 			return false
 		}
 	}
-	return true
+}
+
+// held gives what ends with the engine's stop or hang; nil = it works.
+func (e *engine) held() chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.stops > 0:
+		return e.running
+	case e.hangs > 0:
+		return e.work
+	}
+	return nil
 }
 
 // abort ends a connection without an answer.
@@ -245,7 +258,7 @@
 		c.ends("is left by its caller in its read", false)
 		abort()
 	}
-	check.holds(c.id, e.index, hold{since: time.Now()})
+	check.holds(c.id, e.index, hold{since: time.Now(), unknown: c.conn.ended()})
 	c.answer(w, r, http.StatusAccepted, "has read the prompt", false, `{"cached_tokens":0}`)
 }
 
