--- a/contract/contract_test.go
+++ b/contract/contract_test.go
@@ -68,6 +68,12 @@
 }
 
 func open(t *testing.T, name, text string) (*Target, *emulator.Emulator, *scenario.Plan) {
+	t.Helper()
+	return openThrough(t, name, text, rules.Patient(), func(_, addr string) string { return addr })
+}
+
+// openThrough opens a target that reaches its engines at the addresses that via gives.
+func openThrough(t *testing.T, name, text string, limits rules.Limits, via func(kind, addr string) string) (*Target, *emulator.Emulator, *scenario.Plan) {
 	t.Helper()
 	s, err := scenario.Parse([]byte(text))
 	if err != nil {
@@ -77,7 +83,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	em, err := emulator.New(emulator.Config{Plan: plan, GRPC: name == "grpc", Unlisted: true, Rules: rules.Patient()})
+	em, err := emulator.New(emulator.Config{Plan: plan, GRPC: name == "grpc", Unlisted: true, Rules: limits})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -86,7 +92,7 @@
 			t.Error(err)
 		}
 	})
-	tg, err := Open(name, program, em, plan)
+	tg, err := Open(name, program, em, plan, via)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/contract/silent_test.go
+++ b/contract/silent_test.go
@@ -6,9 +6,7 @@
 	"sync"
 	"testing"
 
-	"ashwood.example/ashwood/lab/emulator"
 	"ashwood.example/ashwood/lab/rules"
-	"ashwood.example/ashwood/lab/scenario"
 )
 
 // staller relays connections to an engine. Once it stalls, connections stay open and new ones come
@@ -92,37 +90,14 @@
 			t.Parallel()
 			limits := rules.Patient()
 			limits.Release = held
-			s, err := scenario.Parse([]byte(fleet))
-			if err != nil {
-				t.Fatal(err)
-			}
-			plan, err := s.Compile()
-			if err != nil {
-				t.Fatal(err)
-			}
-			em, err := emulator.New(emulator.Config{Plan: plan, GRPC: name == "grpc", Unlisted: true, Rules: limits})
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() {
-				if err := em.Close(); err != nil {
-					t.Error(err)
-				}
-			})
 			var stallers []*staller
-			tg, err := OpenThrough(name, program, em, plan, func(kind, addr string) string {
+			tg, em, plan := openThrough(t, name, fleet, limits, func(kind, addr string) string {
 				if kind != "decode-a" {
 					return addr
 				}
 				stallers = append(stallers, stall(t, addr))
 				return stallers[len(stallers)-1].Addr().String()
 			})
-			if err != nil {
-				t.Fatal(err)
-			}
-			if err := em.Begin(); err != nil {
-				t.Fatal(err)
-			}
 			if got := ask(tg, em, plan, 0, "0000000000000001", 20000); got != rules.Served {
 				t.Errorf("before the stall: %s", got)
 			}
--- a/contract/targets.go
+++ b/contract/targets.go
@@ -44,15 +44,10 @@
 	Close  func() error // stops it in order
 }
 
-// Open starts a target in front of an emulator's boxes. The daemon is the built
-// program at a path.
-func Open(name, program string, em *emulator.Emulator, plan *scenario.Plan) (*Target, error) {
-	return OpenThrough(name, program, em, plan, func(_, addr string) string { return addr })
-}
-
-// OpenThrough does the same, with engines reached at the addresses that via gives for those of
-// each kind. The daemon reaches them as the emulator tells it.
-func OpenThrough(name, program string, em *emulator.Emulator, plan *scenario.Plan, via func(kind, addr string) string) (*Target, error) {
+// Open starts a target in front of an emulator's boxes, which it reaches at the addresses that via
+// gives for those of each kind. The daemon is the built program at a path; it reaches them as the
+// emulator tells it.
+func Open(name, program string, em *emulator.Emulator, plan *scenario.Plan, via func(kind, addr string) string) (*Target, error) {
 	if name == "daemon" {
 		return openDaemon(program, em, plan)
 	}
--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -24,19 +23,18 @@
 
 // Times of an engine's work.
 const (
-	leastRead       = 10 * time.Millisecond
-	mostRead        = 240 * time.Millisecond
-	leastFirst      = 10 * time.Millisecond
-	mostFirst       = 200 * time.Millisecond
-	leastSlowFirst  = 600 * time.Millisecond
-	mostSlowFirst   = 1800 * time.Millisecond
-	tokenEvery      = 25 * time.Millisecond
-	leastTokens     = 2
-	mostTokens      = 40
-	unknownAfter    = 300 * time.Millisecond // until a reservation without a read is answered
-	stateWait       = 2 * time.Second        // for an engine that holds the state and is silent
-	placeRefusals   = 0.15                   // share of reservations that are not held
-	crossingAnswers = 50 * time.Millisecond  // a read that ends so soon after its caller closed has ended well
+	leastRead      = 10 * time.Millisecond
+	mostRead       = 240 * time.Millisecond
+	leastFirst     = 10 * time.Millisecond
+	mostFirst      = 200 * time.Millisecond
+	leastSlowFirst = 600 * time.Millisecond
+	mostSlowFirst  = 1800 * time.Millisecond
+	tokenEvery     = 25 * time.Millisecond
+	leastTokens    = 2
+	mostTokens     = 40
+	unknownAfter   = 300 * time.Millisecond // until a reservation without a read is answered
+	stateWait      = 2 * time.Second        // for an engine that holds the state and is silent
+	placeRefusals  = 0.15                   // share of reservations that are not held
 )
 
 // engine is a stand-in of one engine, reached by each gateway over a link of its own.
@@ -357,46 +355,3 @@
 	}
 	c.ends(fmt.Sprintf("%s behind event %d", how, events), false)
 }
-
-func (e *engine) reserve(w http.ResponseWriter, r *http.Request) {
-	id, asked, story, check := r.PathValue("id"), time.Now(), e.world.story, e.world.check
-	check.reserves()
-	switch {
-	case !e.does(r.Context(), 0):
-		abort()
-	case e.chance(placeRefusals):
-		w.WriteHeader(http.StatusConflict)
-	case story.BlindPlaces || check.reading(id):
-		check.holds(id, e.index, hold{place: true, unknown: connOf(r).ended(), since: asked})
-		w.WriteHeader(http.StatusOK)
-	case e.does(r.Context(), unknownAfter):
-		w.WriteHeader(http.StatusNoContent)
-	default:
-		abort()
-	}
-}
-
-func (e *engine) release(w http.ResponseWriter, r *http.Request) {
-	e.mu.Lock()
-	running := e.running
-	e.mu.Unlock()
-	<-running
-	e.world.check.releases(strings.TrimPrefix(r.URL.Path, roomsPath), e.index)
-	if !e.does(r.Context(), 0) { // one that hangs lets go and does not answer
-		abort()
-	}
-	w.WriteHeader(http.StatusNoContent)
-}
-
-func (e *engine) probe(w http.ResponseWriter, r *http.Request) {
-	e.world.check.probes()
-	switch {
-	case !e.world.story.Probes:
-		w.WriteHeader(http.StatusNotFound)
-	case !e.does(r.Context(), 0):
-		abort()
-	default:
-		w.Header().Set(headerReport, e.report())
-		_, _ = io.WriteString(w, e.report()) // the caller may have closed
-	}
-}
