--- a/lab/soak/checker.go
+++ b/lab/soak/checker.go
@@ -279,11 +279,12 @@
 	}
 }
 
-// leftInStream tells that an engine at work saw its stream left by the caller.
-func (c *checker) leftInStream(id string) {
+// leftInStream tells that an engine at work saw a stream left by the caller. That of an attempt
+// which had been given up for another is nobody's.
+func (c *checker) leftInStream(id string, a *attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r := c.requests[id]; r != nil {
+	if r := c.requests[id]; r != nil && r.attempts[len(r.attempts)-1] == a {
 		r.leftIn = true
 	}
 }
--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -351,7 +351,7 @@
 	if c.over() || c.conn.wasLost.Load() {
 		how = "dies or resets its stream"
 	} else {
-		c.e.world.check.leftInStream(c.id)
+		c.e.world.check.leftInStream(c.id, c.attempt)
 	}
 	c.ends(fmt.Sprintf("%s behind event %d", how, events), false)
 }
