--- a/gateway/holds_time_test.go
+++ b/gateway/holds_time_test.go
@@ -102,6 +102,29 @@
 	}
 }
 
+// What an engine may come to hold for an attempt that was given up does not go with the answer that
+// another engine begins; what was held otherwise does.
+func TestHolds_GivenUpBeforeTheAnswer(t *testing.T) {
+	for _, givenUp := range []bool{false, true} {
+		p := &peer{}
+		in(t, p, func(t *testing.T, g *Gateway) {
+			h := held(g, "q", "r1", "w1")
+			if givenUp {
+				h.doubt(ashwood.Server{ID: "r1"})
+			}
+			h.begin()
+			time.Sleep(time.Second)
+			told := map[string]int{}
+			for len(p.freed) > 0 {
+				told[<-p.freed]++
+			}
+			if want := map[bool]int{true: 1 + 2}[givenUp]; told["r1"] != want || told["w1"] != 0 {
+				t.Errorf("given up %v: told %v", givenUp, told)
+			}
+		})
+	}
+}
+
 // The time of a place counts from the asking while the read has no answer. It is released where the
 // read's engine gives no sign, or the engine that was asked knows of no read; not beside a read that is
 // under way, which would lose its state.
