--- a/internal/platform/closing_test.go
+++ b/internal/platform/closing_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -240,3 +241,32 @@
 		}
 	}
 }
+
+// A process that was held up while it accepted the last connections looks again: more have come
+// meanwhile. Then Accept ends, once.
+func TestEndOfQueue_HeldUp(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inner.Close()
+	l := newListener(inner, 8)
+	if over, goOn := l.endOfQueue(os.ErrDeadlineExceeded); over || goOn {
+		t.Error("it has ended though nobody asked")
+	}
+	l.queueTaken, l.queueFrom = make(chan struct{}), time.Now().Add(-time.Second)
+	if over, goOn := l.endOfQueue(os.ErrDeadlineExceeded); over || !goOn {
+		t.Errorf("held up: over %v, goes on %v", over, goOn)
+	}
+	l.queueFrom = time.Now()
+	for range 2 {
+		if over, goOn := l.endOfQueue(os.ErrDeadlineExceeded); !over || goOn {
+			t.Errorf("in time: over %v, goes on %v", over, goOn)
+		}
+	}
+	select {
+	case <-l.queueTaken:
+	default:
+		t.Error("who waits for the end is not told")
+	}
+}
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -47,6 +47,7 @@
 	woken      sync.Cond    // a descriptor is gone
 	ended      bool
 	queueTaken chan struct{}             // closed once the system's queue is empty at the end; nil = not asked for
+	queueFrom  time.Time                 // since when that is looked for
 	stopped    bool                      // connections without a request are closed at once
 	readBy     atomic.Pointer[time.Time] // no request is read for longer; nil = not told
 }
@@ -98,8 +99,10 @@
 		}
 		l.mu.Unlock()
 		nc, err := l.Listener.Accept()
-		if err != nil && l.queueIsTaken(err) {
+		if over, goOn := l.endOfQueue(err); over {
 			return nil, net.ErrClosed
+		} else if goOn {
+			continue
 		}
 		if err == nil || l.most == 0 || errors.Is(err, net.ErrClosed) {
 			return nc, err
