--- a/internal/platform/closing.go
+++ b/internal/platform/closing.go
@@ -157,15 +157,12 @@
 // takeQueue accepts the connections that wait in the system's queue, and then ends Accept: the
 // close of the listener would reset them, with the requests that their clients have written.
 func (l *listener) takeQueue() {
-	bounded, ok := l.Listener.(deadliner)
-	if !ok {
-		return
-	}
 	l.mu.Lock()
+	bounded, ok := l.Listener.(deadliner)
 	l.queueTaken, l.queueFrom = make(chan struct{}), time.Now()
 	l.mu.Unlock()
-	if bounded.SetDeadline(time.Now().Add(queueWait)) != nil {
-		return // it has been closed
+	if !ok || bounded.SetDeadline(time.Now().Add(queueWait)) != nil {
+		return // it can't be bounded, or has been closed
 	}
 	select {
 	case <-l.queueTaken:
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -73,7 +73,9 @@
 
 // Serve answers on a listener until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
+	s.in.mu.Lock() // a Shutdown may come at once
 	s.in.Listener = l
+	s.in.mu.Unlock()
 	return s.http.Serve(s.in)
 }
 
