--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -93,7 +93,8 @@
 	if !c.connect(ctx) {
 		return
 	}
-	stop := context.AfterFunc(ctx, func() { c.conn.Close() })
+	conn := c.conn
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	_, _ = c.in.Peek(1) // its end is all that is waited for
 	c.hangUp()
@@ -170,7 +171,8 @@
 func (c *client) stopHalfWay(ctx context.Context, text string) {
 	if _, err := io.WriteString(c.conn, text[:1+c.rng.IntN(len(text)-1)]); err == nil {
 		_ = c.conn.SetReadDeadline(time.Now().Add(halfWayStay)) // without one the client would stay longer
-		stop := context.AfterFunc(ctx, func() { c.conn.Close() })
+		conn := c.conn
+		stop := context.AfterFunc(ctx, func() { conn.Close() })
 		_, _ = c.in.Peek(1)
 		stop()
 	}
