--- a/gateway/holds_time_test.go
+++ b/gateway/holds_time_test.go
@@ -179,3 +179,17 @@
 		time.Sleep(20 * time.Second)
 	})
 }
+
+// Where no engine at all could be told, others are told in place of the silent holder once they are
+// back.
+func TestHolds_OthersAreToldOnceTheyAreBack(t *testing.T) {
+	p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6, "w1": 1e6}}
+	in(t, p, func(t *testing.T, g *Gateway) {
+		held(g, "q", "r1").release(true)
+		time.Sleep(3 * time.Second)
+		p.hear("w1")
+		if d := p.wantNext(t, "w1"); d > time.Second {
+			t.Errorf("told %v behind its return", d)
+		}
+	})
+}
