Have the soak note how old the connection of a request is, and whether it was used

What a stopped gateway leaves unanswered may have come on a connection that was idle, or on one that came up in the queue of a process that could not run. The checker's notes did not tell which: TestSoak_StoppedToTheKill printed when a request was written, and nothing of its connection. They say now how old the connection is and whether it has brought an answer before. No check changes; the test's call of asked has the two new arguments.

--- a/lab/soak/checker.go
+++ b/lab/soak/checker.go
@@ -174,7 +174,8 @@
 	c.breaks = append(c.breaks, b)
 }
 
-// asks tells that a client begins to write a request; asked, that it is written whole.
+// asks tells that a client begins to write a request; asked, that it is written whole, on a connection of an age that has or
+// has not brought an answer before. What is left unanswered may be that of an idle connection or of one that came up late.
 func (c *checker) asks(id string, class Class, gateway int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -187,13 +188,13 @@
 	c.note(r, "for gateway %d: %s (%s), waits %v", gateway, class.Name, class.Effect, class.Deadline)
 }
 
-func (c *checker) asked(id string, at time.Time) {
+func (c *checker) asked(id string, at time.Time, age time.Duration, reused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts.Requests++
 	r := c.requests[id]
 	r.asked = at
-	c.note(r, "written whole")
+	c.note(r, "written whole, on a connection that is %v old (used before: %v)", age, reused)
 }
 
 // leaves tells that a client closes before its answer.
--- a/lab/soak/checker_test.go
+++ b/lab/soak/checker_test.go
@@ -48,7 +48,7 @@
 func toldBreaks(conn *linkConn, asked time.Time) int {
 	c := newChecker(&Story{Gateways: 1, Engines: []Engine{{ID: "e0", Role: Prefill}}}, asked.Add(-time.Second))
 	c.asks("q", Class{Effect: Pure, Deadline: toldLong}, 0)
-	c.asked("q", asked)
+	c.asked("q", asked, 0, false)
 	c.takes("q", 0, 0, conn, time.Now(), toldLong)
 	breaks, _ := c.finish()
 	return len(breaks)
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -34,9 +34,10 @@
 	name    string
 	count   int
 
-	conn   net.Conn
-	in     *bufio.Reader
-	reused bool
+	conn    net.Conn
+	in      *bufio.Reader
+	dialled time.Time // when conn came up
+	reused  bool      // conn has brought an answer
 }
 
 // Behaviour of clients.
@@ -117,7 +118,7 @@
 		sleep(ctx, noGateway)
 		return false
 	}
-	c.conn, c.in, c.reused = conn, bufio.NewReader(conn), false
+	c.conn, c.in, c.dialled, c.reused = conn, bufio.NewReader(conn), time.Now(), false
 	return true
 }
 
@@ -145,7 +146,7 @@
 			continue
 		}
 		written := time.Now()
-		c.world.check.asked(id, written)
+		c.world.check.asked(id, written, written.Sub(c.dialled), c.reused)
 		how := c.answer(ctx, id, class, written)
 		if how != answerUnread {
 			if how != "" {
