Have the soak note its own lateness and print it with a broken rule

Engines, clients, faults and checker of the soak share one process, and a machine with the gateways that they judge. A broken rule prints what lies in its request's time, held-back events each with write, arrival and read, a run its worst. Nothing is excused by it and no check changes.

--- a/lab/soak/checker.go
+++ b/lab/soak/checker.go
@@ -84,6 +84,8 @@
 	openFrom map[[2]int]time.Time // gateway, engine: since when the engine can be reached; none = it can't
 	pauses   [][]pause            // by gateway
 	lags     []pause              // of the machine
+	lateness []lateMoment         // of the soak itself
+	lateRead []string             // events that came late, and how late their clients read them
 	died     []time.Time          // by gateway, the latest
 	cold     map[int]*coldEngine
 	breaks   []Break
@@ -169,7 +171,7 @@
 			return
 		}
 		r.reported[rule] = true
-		b.ID, b.History = r.id, slices.Clone(r.history)
+		b.ID, b.History = r.id, append(slices.Clone(r.history), c.latenessIn(r.asked, time.Now())...)
 	}
 	c.breaks = append(c.breaks, b)
 }
@@ -290,6 +292,17 @@
 	}
 }
 
+// eventLate notes an event that a client read so long behind its engine's write, and when its last byte had come.
+func (c *checker) eventLate(id string, n int, wrote, came, read time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noteLate(lateClient, came, read.Sub(came))
+	if len(c.lateRead) < mostHistory {
+		c.lateRead = append(c.lateRead, fmt.Sprintf("event %d of %s, written at %.3f, came %v later and was read %v behind that", n, id,
+			wrote.Sub(c.begun).Seconds(), came.Sub(wrote).Round(time.Millisecond), read.Sub(came).Round(time.Millisecond)))
+	}
+}
+
 // finish gives the broken rules and the counts at a run's end.
 func (c *checker) finish() ([]Break, Counts) {
 	c.mu.Lock()
@@ -302,6 +315,8 @@
 	const least, share = 5, 10 // single delays are the machine's
 	if n := c.counts.HeldBackStreams; n > least && n*share > c.counts.Streams {
 		c.broke(HeldBack, nil, "%d of %d streams", n, c.counts.Streams)
+		late := &c.breaks[len(c.breaks)-1]
+		late.History = append(slices.Clone(c.lateRead), c.latenessIn(c.begun, time.Now())...)
 	}
 	return slices.Clone(c.breaks), c.counts
 }
--- a/lab/soak/checker_attempts.go
+++ b/lab/soak/checker_attempts.go
@@ -17,6 +17,9 @@
 	c.counts.Attempts++
 	a := &attempt{engine: engine, role: c.story.Engines[engine].Role, conn: conn, over: conn.ended()}
 	came := conn.arrived(now)
+	if open, ok := c.openFrom[[2]int{gateway, engine}]; ok && open.Before(came) { // else it was silent on purpose
+		c.noteLate(lateEngine, came, now.Sub(came))
+	}
 	c.note(r, "engine %d (%s) takes an attempt that came %v before, told %v; given up before: %v", engine, a.role, now.Sub(came), remaining, a.over)
 	for _, other := range r.attempts {
 		if !a.over && !other.over && other.overlapAt.IsZero() {
--- a/lab/soak/checker_holds.go
+++ b/lab/soak/checker_holds.go
@@ -191,6 +191,7 @@
 		if now := time.Now(); now.Sub(begun) > lagEvery+leastLag {
 			c.mu.Lock()
 			c.lags = append(c.lags, pause{begun.Add(lagEvery), now})
+			c.noteLate(lateTimer, begun.Add(lagEvery), now.Sub(begun)-lagEvery)
 			c.mu.Unlock()
 		}
 	}
--- a/lab/soak/checker_test.go
+++ b/lab/soak/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"testing"
 	"time"
 )
@@ -76,3 +77,32 @@
 		t.Errorf("%d rules broken by an attempt that came in time and is read %v late, want none", n, readLate)
 	}
 }
+
+// A broken rule that the soak's own lateness may explain tells of it: which part was late, how often and by how much, in the
+// request's time alone.
+func TestChecker_LatenessIsPrintedWithABreak(t *testing.T) {
+	c := newChecker(&Story{Gateways: 1}, time.Now().Add(-time.Minute))
+	c.wasLate(lateSweep, time.Now().Add(-30*time.Second), time.Second) // before the request
+	c.asks("q", Class{Effect: Pure}, 0)
+	now := time.Now()
+	c.wasLate(lateFault, now, leastNoted-1) // too little
+	c.wasLate(lateEngine, now, 40*time.Millisecond)
+	c.wasLate(lateEngine, now, 90*time.Millisecond)
+	c.sees(Lost, "q", "unanswered")
+	breaks, _ := c.finish()
+	if len(breaks) != 1 {
+		t.Fatalf("%d broken rules, want 1", len(breaks))
+	}
+	var told []string
+	for _, line := range breaks[0].History {
+		if strings.HasPrefix(line, "the soak itself") {
+			told = append(told, line)
+		}
+	}
+	if len(told) != 1 || !strings.Contains(told[0], string(lateEngine)+" late 2 times, the worst by 90ms") {
+		t.Errorf("the break tells of %q", told)
+	}
+	if all := c.latenessText(); strings.Count(all, "the soak itself") != 2 {
+		t.Errorf("of the whole run: %s", all)
+	}
+}
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -317,7 +318,10 @@
 			return fmt.Sprintf("got what no engine made for it: %.80q", data)
 		}
 		at := c.world.begun.Add(time.Duration(e.At))
-		heldBack = heldBack || now.Sub(at) > eventSlack && c.world.check.pausedSince(c.gateway.index, at, now) == 0
+		if now.Sub(at) > eventSlack && c.world.check.pausedSince(c.gateway.index, at, now) == 0 {
+			heldBack = true
+			c.world.check.eventLate(id, e.N, at, arrival(c.conn.(syscall.Conn), now), now)
+		}
 		next, of, last = next+1, e.Of, now
 	}
 	err := lines.Err()
--- a/lab/soak/link.go
+++ b/lab/soak/link.go
@@ -7,9 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
-	"ashwood.example/ashwood/internal/sockcall"
 	"ashwood.example/ashwood/lab/backlog"
 )
 
@@ -295,28 +292,9 @@
 // ended tells whether the caller has closed the connection or ended its sending, also while
 // the link is silent and nobody reads.
 func (c *linkConn) ended() bool {
-	info, err := c.kernelInfo()
+	info, err := kernelInfo(c)
 	return err != nil || info.State == tcpClose || info.State == tcpCloseWait
 }
 
-// arrived gives when the last byte that has come reached this machine, however late it is read here: the lab's own process may be
-// held up. The kernel counts in its ticks.
-func (c *linkConn) arrived(now time.Time) time.Time {
-	info, err := c.kernelInfo()
-	if err != nil {
-		return now
-	}
-	behind := time.Duration(info.Last_data_recv)*time.Millisecond - kernelTick
-	return now.Add(-max(behind, 0))
-}
-
-// kernelTick is the longest tick of a kernel's clock.
-const kernelTick = 10 * time.Millisecond
-
-func (c *linkConn) kernelInfo() (info *unix.TCPInfo, err error) {
-	err = sockcall.Do(c, func(fd int) (err error) {
-		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		return err
-	})
-	return info, err
-}
+// arrived is the arrival of the last byte that has come.
+func (c *linkConn) arrived(now time.Time) time.Time { return arrival(c, now) }
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -16,6 +16,7 @@
 	Story  *Story
 	Counts Counts
 	Breaks []Break
+	Late   string // how late the soak itself was
 }
 
 // OK tells whether every rule was kept.
@@ -25,7 +26,7 @@
 func (r *Report) String() string {
 	var b strings.Builder
 	b.WriteString(r.Story.String())
-	fmt.Fprintf(&b, "  %+v\n", r.Counts)
+	fmt.Fprintf(&b, "  %+v\n%s", r.Counts, r.Late)
 	for _, v := range r.Breaks {
 		b.WriteString(v.String())
 	}
@@ -85,7 +86,7 @@
 			return nil, err
 		}
 	}
-	return &Report{Story: s, Counts: counts, Breaks: breaks}, ctx.Err()
+	return &Report{Story: s, Counts: counts, Breaks: breaks, Late: w.check.latenessText()}, ctx.Err()
 }
 
 // open starts engines, discovery and gateways.
@@ -129,8 +130,9 @@
 	running, stop := context.WithCancel(ctx)
 	var all, clients sync.WaitGroup
 	all.Go(func() {
-		for sleep(running, sweepEvery) {
+		for due := time.Now().Add(sweepEvery); sleep(running, time.Until(due)); due = time.Now().Add(sweepEvery) {
 			w.check.sweep()
+			w.check.wasLate(lateSweep, due, time.Since(due))
 		}
 	})
 	all.Go(func() { w.check.watchLag(running) })
@@ -141,7 +143,9 @@
 	var events sync.WaitGroup
 	for _, e := range w.story.Events {
 		events.Go(func() {
-			if sleep(running, time.Until(start.Add(e.At))) {
+			due := start.Add(e.At)
+			if sleep(running, time.Until(due)) {
+				w.check.wasLate(lateFault, due, time.Since(due))
 				w.happen(running, e)
 			}
 		})
