Count apart what the soak sends on connections that the protocol does not have

The soak's clients open connections up to the kill. The protocol has it that new connections keep coming for 0.2 to 0.4 s behind SIGTERM. Change, the narrowest that these show: only a connection opened over 0.4 s behind SIGTERM, to a process that was stopped before 0.45 s and did not run again before its kill, is no case of the protocol; it is counted (NoCase), and lost all the same if an engine saw its request. The check before asked for an answer from a process that could neither run nor have refused.

--- a/lab/soak/checker.go
+++ b/lab/soak/checker.go
@@ -62,6 +62,7 @@
 	Requests, Served, Refused, Failed, Left, Exempt int
 	Attempts, Reservations, Releases, Probes        int
 	Holds, Streams, HeldBackStreams, Unread         int
+	NoCase                                          int // requests on connections that the protocol does not have
 }
 
 // Add adds another run's counts.
@@ -70,6 +71,7 @@
 	c.Left, c.Exempt, c.Attempts, c.Reservations = c.Left+o.Left, c.Exempt+o.Exempt, c.Attempts+o.Attempts, c.Reservations+o.Reservations
 	c.Releases, c.Probes, c.Holds, c.Streams = c.Releases+o.Releases, c.Probes+o.Probes, c.Holds+o.Holds, c.Streams+o.Streams
 	c.HeldBackStreams, c.Unread = c.HeldBackStreams+o.HeldBackStreams, c.Unread+o.Unread
+	c.NoCase += o.NoCase
 }
 
 // checker counts the rules from what engines and clients see. It knows nothing of what
@@ -230,6 +232,11 @@
 		c.counts.Failed++
 	case answerExempt:
 		c.counts.Exempt++
+	case answerNoCase:
+		c.counts.NoCase++
+		if len(r.attempts) > 0 {
+			c.broke(Lost, r, "%s, though it was sent to an engine", how)
+		}
 	case answerUnread:
 		c.counts.Unread++
 		if len(r.attempts) > 0 {
--- a/lab/soak/checker_holds.go
+++ b/lab/soak/checker_holds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -151,6 +152,15 @@
 	return c.paused(gateway, from, to)
 }
 
+// stoppedThrough tells whether a gateway's process did not run at any moment between two times.
+func (c *checker) stoppedThrough(gateway int, from, to time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.pauses[gateway], func(p pause) bool {
+		return p.from.Before(from) && (p.to.IsZero() || p.to.After(to))
+	})
+}
+
 // paused is for how long a gateway could not run between two times: it was stopped, for longer than
 // it may be held up without excuse, or the machine itself was late.
 func (c *checker) paused(gateway int, from, to time.Time) time.Duration {
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -24,6 +24,7 @@
 	answerFailed  = "failed"
 	answerExempt  = "lost with its process, which the rules allow"
 	answerUnread  = "closed unread"
+	answerNoCase  = "on a new connection that the protocol has no more, to a process that could not run"
 )
 
 // client is one client. It has one request out at a time, and keeps its connection.
@@ -241,13 +242,15 @@
 
 // unanswered tells what the end of a connection without an answer means.
 func (c *client) unanswered(written time.Time, err error) string {
-	reused := c.reused
+	reused, dialled := c.reused, c.dialled
 	c.hangUp()
 	switch {
 	case c.gateway.exempt(written):
 		return answerExempt
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return "no answer in time"
+	case c.gateway.couldNotRefuse(dialled):
+		return answerNoCase
 	case c.gateway.killedSince(written):
 		return "unanswered at the kill"
 	case errors.Is(err, io.EOF):
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -229,6 +229,24 @@
 	return !g.killed.IsZero() && written.Before(g.killed) && written.Before(g.toldOld.Add(exemptFor))
 }
 
+// Times of the protocol behind SIGTERM, and what a gateway may take to close its listener.
+const (
+	newcomersFor = 400 * time.Millisecond
+	listenerWait = 50 * time.Millisecond
+)
+
+// couldNotRefuse tells whether a connection was opened when the protocol has no new ones any more, to a process that was stopped before
+// it had to close its listener and did not run again before its kill. Whatever was opened before is owed an answer.
+func (g *gateway) couldNotRefuse(dialled time.Time) bool {
+	g.mu.Lock()
+	told, killed := g.toldOld, g.killed
+	g.mu.Unlock()
+	if told.IsZero() || killed.Before(dialled) || dialled.Before(told.Add(newcomersFor)) {
+		return false
+	}
+	return g.world.check.stoppedThrough(g.index, told.Add(newcomersFor+listenerWait), killed)
+}
+
 // killedSince tells whether a process has been killed after a time.
 func (g *gateway) killedSince(t time.Time) bool {
 	g.mu.Lock()
