Have the soak note when gateways got no processor

The soak reads now, every 50 ms, for how long each thread of a gateway could run and was given no processor, and the host's steal time, and prints them with a broken rule as it prints its own lateness. Nothing is excused by it and no check changes.

--- a/cmd/ashlab/soak.go
+++ b/cmd/ashlab/soak.go
@@ -15,7 +15,7 @@
 	var first uint64
 	var seeds, parallel int
 	var length time.Duration
-	var script, silence bool
+	var script, silence, ending bool
 	opt := soak.Options{LogLevel: "debug"}
 	cmd := &cobra.Command{
 		Use: "soak", Args: cobra.NoArgs, Short: "Play stories of overlapping faults on real processes, one for each seed",
@@ -41,8 +41,11 @@
 				all.Go(func() {
 					for seed := range next {
 						story, one := soak.Generate(seed, length), opt
-						if silence {
+						switch {
+						case silence:
 							story = soak.GenerateSilence(seed, length)
+						case ending:
+							story = soak.GenerateEnding(seed, length)
 						}
 						if opt.Logs != "" {
 							one.Logs = filepath.Join(opt.Logs, fmt.Sprint(seed))
@@ -85,6 +88,8 @@
 	cmd.Flags().IntVar(&parallel, "parallel", 2, "how many stories to play at once")
 	cmd.Flags().DurationVar(&length, "length", 8*time.Second, "for how long clients ask")
 	cmd.Flags().BoolVar(&silence, "silence", false, "stories in which all engines fall silent and come back one by one")
+	cmd.Flags().BoolVar(&ending, "ending", false, "stories of gateways that are told to end and stopped around that")
+	cmd.MarkFlagsMutuallyExclusive("silence", "ending")
 	cmd.Flags().BoolVar(&script, "script", false, "print the script of every story")
 	cmd.Flags().StringVar(&opt.Program, "program", "", "the gateway's program; ashwood beside this one by default")
 	cmd.Flags().StringVar(&opt.Logs, "logs", "", "a folder for the gateways' logs, one folder a seed")
--- a/lab/soak/checker_test.go
+++ b/lab/soak/checker_test.go
@@ -95,14 +95,14 @@
 	}
 	var told []string
 	for _, line := range breaks[0].History {
-		if strings.HasPrefix(line, "the soak itself") {
+		if strings.HasPrefix(line, "late: ") {
 			told = append(told, line)
 		}
 	}
 	if len(told) != 1 || !strings.Contains(told[0], string(lateEngine)+" late 2 times, the worst by 90ms") {
 		t.Errorf("the break tells of %q", told)
 	}
-	if all := c.latenessText(); strings.Count(all, "the soak itself") != 2 {
+	if all := c.latenessText(); strings.Count(all, "late: ") != 2 {
 		t.Errorf("of the whole run: %s", all)
 	}
 }
--- a/lab/soak/lateness.go
+++ b/lab/soak/lateness.go
@@ -12,9 +12,9 @@
 	"ashwood.example/ashwood/internal/sockcall"
 )
 
-// This file notes how late the soak itself is. Engines, clients, faults and the checker share one process, and a machine with what
-// they judge: a hold that is too long, or an event that comes late, may be their own lateness. It excuses nothing; it is printed
-// with what it may explain.
+// This file notes how late the soak itself and its machine are. Engines, clients, faults and the checker share one process, and a machine
+// with what they judge: a hold that is too long, or an event that comes late, may be their own lateness. It excuses nothing; it is
+// printed with what it may explain.
 
 // lateKind is a part of the soak that may be late.
 type lateKind string
@@ -26,6 +26,7 @@
 	lateSweep  lateKind = "the checker's sweep ran" // behind its time
 	lateTimer  lateKind = "a timer fired"
 	lateClient lateKind = "a client read an event" // behind the arrival of its last byte
+	lateHost   lateKind = "the host gave processors"
 )
 
 // lateMoment is one lateness: what was to happen by at has happened so much later.
@@ -65,7 +66,7 @@
 		}
 	}
 	for kind, m := range worst {
-		lines = append(lines, fmt.Sprintf("the soak itself: %s late %d times, the worst by %v at %.3f", kind, count[kind], m.by.Round(time.Millisecond), m.at.Sub(c.begun).Seconds()))
+		lines = append(lines, fmt.Sprintf("late: %s late %d times, the worst by %v at %.3f", kind, count[kind], m.by.Round(time.Millisecond), m.at.Sub(c.begun).Seconds()))
 	}
 	slices.Sort(lines)
 	return lines
@@ -77,7 +78,7 @@
 	defer c.mu.Unlock()
 	lines := c.latenessIn(time.Time{}, time.Now())
 	if len(lines) == 0 {
-		return fmt.Sprintf("  the soak itself: never late by %v or more\n", leastNoted)
+		return fmt.Sprintf("  late: nothing, by %v or more\n", leastNoted)
 	}
 	return "  " + strings.Join(lines, "\n  ") + "\n"
 }
--- a/lab/soak/process_test.go
+++ b/lab/soak/process_test.go
@@ -45,3 +45,15 @@
 		}
 	}
 }
+
+// A process that can run and gets no processor shows in its threads' counts, one that is stopped or has nothing to do does not.
+func TestRunDelays_Longest(t *testing.T) {
+	before := runDelays{"a": time.Second, "b": 5 * time.Second}
+	now := runDelays{"a": time.Second, "b": 5*time.Second + 30*time.Millisecond, "new": 10 * time.Millisecond}
+	if got := now.longest(before); got != 30*time.Millisecond {
+		t.Errorf("longest %v", got)
+	}
+	if got := (runDelays{}).longest(before); got != 0 {
+		t.Errorf("of a process that has ended: %v", got)
+	}
+}
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -136,6 +136,7 @@
 		}
 	})
 	all.Go(func() { w.check.watchLag(running) })
+	all.Go(func() { w.watchStarvation(running) })
 	asking, over := context.WithTimeout(running, w.story.Length)
 	for i, c := range w.story.Clients {
 		clients.Go(func() { w.newClient(i, c).run(asking) })
