Have a client of the soak that leaves late send nothing more on its connection

Cause: a leaver's timer that fires as its answer has been read is not prevented by Stop any more; the client asked again on the connection, and the timer closed it under the next request. The client waits for the close now and connects anew. No check changes. A race of the lab's two goroutines, of some us: it has no test of its own.

--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -188,12 +188,7 @@
 	conn := c.conn
 	leave := make(chan struct{})
 	if c.kind == Leaver && c.rng.Float64() < leaveShare {
-		timer := time.AfterFunc(c.between(0, mostStay), func() {
-			c.world.check.leaves(id)
-			close(leave)
-			conn.Close()
-		})
-		defer timer.Stop()
+		defer c.leaveAfter(c.between(0, mostStay), id, leave)()
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
@@ -224,6 +219,24 @@
 	return how
 }
 
+// leaveAfter has the client close its connection after a while, having closed leave. cancel prevents that or, where it comes too
+// late, waits until the connection is closed: nothing more is to be sent on it.
+func (c *client) leaveAfter(d time.Duration, id string, leave chan struct{}) (cancel func()) {
+	conn, closed := c.conn, make(chan struct{})
+	timer := time.AfterFunc(d, func() {
+		defer close(closed)
+		c.world.check.leaves(id)
+		close(leave)
+		conn.Close()
+	})
+	return func() {
+		if !timer.Stop() {
+			<-closed
+			c.hangUp()
+		}
+	}
+}
+
 // wait waits for an answer's first byte until a time, longer where the gateway is stopped.
 func (c *client) wait(until time.Time) error {
 	for {
