Time the soak's requests and attempts by the kernel where the lab is late

Cause: clients, engines and checker share a process; a client notes late what it wrote, an engine reads late what came. Change: a request counts from when its last byte left by the kernel (never later than before, so stricter where the write was noted late); what an attempt was told is judged once that is noted; an attempt begins at the latest as its last byte comes. Bounds and slacks are as they were. TestChecker_LateNotesOfTheLab asks for both sides: of its four cases the first and the third are red without, the others break the rule as before.

--- a/lab/soak/checker.go
+++ b/lab/soak/checker.go
@@ -103,6 +103,8 @@
 	class    Class
 	gateway  int
 	asked    time.Time
+	written  bool      // whole, at asked; before, asked is when that began
+	untimed  []func()  // checks that wait for it
 	left     time.Time // its client did; zero = not
 	answer   string    // its final one
 	attempts []*attempt
@@ -183,7 +185,8 @@
 func (c *checker) asks(id string, class Class, gateway int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.requests[id] != nil { // sent again on a new connection, as it was not read
+	if r := c.requests[id]; r != nil { // sent again on a new connection, as it was not read
+		r.written = false
 		return
 	}
 	now := time.Now()
@@ -197,10 +200,19 @@
 	defer c.mu.Unlock()
 	c.counts.Requests++
 	r := c.requests[id]
-	r.asked = at
+	r.asked, r.written = at, true
+	r.time()
 	c.note(r, "written whole, on a connection that is %v old (used before: %v)", age, reused)
 }
 
+// time makes the checks that have waited for the time at which the request was written whole.
+func (r *request) time() {
+	for _, check := range r.untimed {
+		check()
+	}
+	r.untimed = nil
+}
+
 // leaves tells that a client closes before its answer.
 func (c *checker) leaves(id string) {
 	c.mu.Lock()
@@ -315,6 +327,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range c.requests {
+		r.time()
 		if r.leftIn && r.left.IsZero() && r.brokeIn > 0 && r.brokeIn < stoppedFor {
 			c.broke(Lost, r, "its stream was cut %v behind an event", r.brokeIn)
 		}
--- a/lab/soak/checker_attempts.go
+++ b/lab/soak/checker_attempts.go
@@ -17,6 +17,9 @@
 	c.counts.Attempts++
 	a := &attempt{engine: engine, role: c.story.Engines[engine].Role, conn: conn, over: conn.ended()}
 	came := conn.arrived(now)
+	if came.Before(begun) { // its engine was late to see that it begins
+		begun = came
+	}
 	if open, ok := c.openFrom[[2]int{gateway, engine}]; ok && open.Before(came) { // else it was silent on purpose
 		c.noteLate(lateEngine, came, now.Sub(came))
 	}
@@ -42,7 +45,7 @@
 }
 
 // timely checks when an attempt began, and what it was told as its last byte came, where nothing but the gateway can have delayed
-// it. That the lab itself reads that byte late is not the gateway's doing.
+// it. That the lab itself reads that byte late is not the gateway's doing, nor that a client notes late that its request is written.
 func (c *checker) timely(r *request, gateway, engine int, now, begun, came time.Time, remaining time.Duration) {
 	open, reachable := c.openFrom[[2]int{gateway, engine}]
 	steady := func(from time.Time) bool { return reachable && open.Before(from) }
@@ -56,11 +59,14 @@
 			c.broke(Lost, r, "an attempt at engine %d began %v after its client had left", engine, late)
 		}
 	}
-	if steady(r.asked) {
+	r.untimed = append(r.untimed, func() {
 		left := r.class.Deadline - came.Sub(r.asked)
-		if remaining > left+toldSlack+c.paused(gateway, r.asked, came) {
+		if steady(r.asked) && remaining > left+toldSlack+c.paused(gateway, r.asked, came) {
 			c.broke(Told, r, "engine %d is told %v with %v left", engine, remaining, left)
 		}
+	})
+	if r.written {
+		r.time()
 	}
 }
 
--- a/lab/soak/checker_test.go
+++ b/lab/soak/checker_test.go
@@ -106,3 +106,44 @@
 		t.Errorf("of the whole run: %s", all)
 	}
 }
+
+// Guards against two ways in which a gateway was blamed for the lab's own lateness beside load (soak seed 100): an attempt counted from when a
+// client began to write its request, as it was taken before the client noted that this was written; and from when its engine read it.
+func TestChecker_LateNotesOfTheLab(t *testing.T) {
+	conn := attemptRead(t)
+	came := conn.arrived(time.Now())
+	looks := time.NewTicker(time.Millisecond)
+	defer looks.Stop()
+	for now := range looks.C {
+		if came = conn.arrived(now); now.Sub(came) > leaveSlack {
+			break
+		}
+		if now.Sub(came) > waitBound {
+			t.Fatal("the kernel does not tell when the attempt came")
+		}
+	}
+	for _, tt := range []struct {
+		name    string
+		written time.Duration // of the request, before the attempt's last byte came; its client began long before
+		left    time.Duration // when its client left, the same; 0 = it stayed
+		breaks  int
+	}{
+		{"written just before, noted late", 0, 0, 0},
+		{"written long before, noted late", readLate, 0, 1},
+		{"begun in time behind its client's leaving, read late", 0, 100 * time.Millisecond, 0},
+		{"begun late behind its client's leaving", 0, leaveSlack + 20*time.Millisecond, 1},
+	} {
+		c := newChecker(&Story{Gateways: 1, Engines: []Engine{{ID: "e0", Role: Prefill}}}, came.Add(-time.Minute))
+		c.asks("q", Class{Effect: Pure, Deadline: toldLong}, 0)
+		r := c.requests["q"]
+		r.asked = came.Add(-toldLong)
+		if tt.left > 0 {
+			r.left = came.Add(-tt.left)
+		}
+		c.takes("q", 0, 0, conn, time.Now(), toldLong)
+		c.asked("q", came.Add(-tt.written), 0, false)
+		if breaks, _ := c.finish(); len(breaks) != tt.breaks {
+			t.Errorf("%s: %d rules broken, want %d: %v", tt.name, len(breaks), tt.breaks, breaks)
+		}
+	}
+}
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -147,7 +147,7 @@
 			c.hangUp()
 			continue
 		}
-		written := time.Now()
+		written := departure(c.conn.(syscall.Conn), time.Now())
 		c.world.check.asked(id, written, written.Sub(c.dialled), c.reused)
 		how := c.answer(ctx, id, class, written)
 		if how != answerUnread {
--- a/lab/soak/lateness.go
+++ b/lab/soak/lateness.go
@@ -94,6 +94,16 @@
 	return now.Add(-max(behind, 0))
 }
 
+// departure gives when the last byte that was written to a connection has left, however late its writer goes on.
+func departure(socket syscall.Conn, now time.Time) time.Time {
+	info, err := kernelInfo(socket)
+	if err != nil {
+		return now
+	}
+	behind := time.Duration(info.Last_data_sent)*time.Millisecond - kernelTick
+	return now.Add(-max(behind, 0))
+}
+
 // kernelTick is the longest tick of a kernel's clock.
 const kernelTick = 10 * time.Millisecond
 
