Tell failures of this machine from engines that are silent

Cause: owner.try and ask took every error for an engine's. Change: transports say so (gateway.ErrLocal) for a used-up share of sockets, EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL and ENETUNREACH before the first byte; an attempt that fails so is not sent, as with the share used up before. A probe that ran out of its time in a connect stays a sign. TestLiveness_LocalFailures: without the change in owner.go the engine is taken for silent; the table of what an attempt proves has five more cases. Over gRPC the library gives these errors as text alone: not told apart there.

--- a/gateway/liveness_test.go
+++ b/gateway/liveness_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"strings"
 	"testing"
+	"time"
 
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/internal/clock"
@@ -34,6 +35,29 @@
 	}
 }
 
+// Guards against taking a failure of this machine, a want of sockets, for the silence of an engine: it was told to operators, and the engine
+// was not told first in place of others any more.
+func TestLiveness_LocalFailures(t *testing.T) {
+	p := &peer{local: 4 * silentAfter}
+	in(t, p, func(t *testing.T, g *Gateway) {
+		p.freed = make(chan string, 9)
+		w1 := ashwood.Server{ID: "w1", Kind: "w", State: ashwood.StateOn}
+		g.Update(ashwood.ListPatch, []ashwood.Server{w1})
+		g.owner.heard(w1)
+		for range silentAfter {
+			g.ask(w1, probeWait)
+		}
+		held(g, "q", "w1").release(true)
+		time.Sleep(10 * time.Second)
+		if told := p.toldSoFar(); told["w1"] == 0 {
+			t.Errorf("told once this machine could: %v", told)
+		}
+		if len(g.live.engines) > 0 || len(g.owner.recent) != 1 {
+			t.Errorf("taken for silent: %v; heard last: %v", g.live.engines, g.owner.recent)
+		}
+	})
+}
+
 // A hold is counted from its begin to its end, with the age of the oldest, and ends once.
 func TestHoldLog_Figures(t *testing.T) {
 	c, set := clock.NewManual(0), metrics.New(nil)
--- a/gateway/peer_test.go
+++ b/gateway/peer_test.go
@@ -28,6 +28,7 @@
 	refuse    map[ashwood.ServerID]int  // releases that fail to connect
 	silent    map[ashwood.ServerID]int  // releases written to a connection gone silent
 	hung      map[ashwood.ServerID]bool // engines that take releases and answer none
+	local     int                       // calls that this machine can't make
 	releases  []release.Key             // that engines have taken
 	fresh     []bool                    // whether each release was to go on a new connection
 	probed    chan string               // gets each engine asked for its load
@@ -96,6 +97,11 @@
 func (p *peer) Release(ctx context.Context, v ashwood.Server, id ashwood.RequestID, fresh bool) error {
 	p.mu.Lock()
 	p.fresh = append(p.fresh, fresh)
+	if p.local > 0 {
+		p.local--
+		p.mu.Unlock()
+		return fmt.Errorf("no socket: %w", ErrLocal)
+	}
 	if p.silent[v.ID] > 0 {
 		p.silent[v.ID]--
 		p.mu.Unlock()
@@ -123,6 +129,9 @@
 
 func (p *peer) Probe(ctx context.Context, v ashwood.Server) (ashwood.Status, ashwood.Report) {
 	p.probed <- string(v.ID)
+	if p.local > 0 {
+		return ashwood.NotSent, nil
+	}
 	if p.mute {
 		<-ctx.Done()
 		return ashwood.ConnectionLost, nil
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -19,9 +19,11 @@
 	defer g.clock.AfterFunc(ms, cancel)()
 	begun := g.clock.Now()
 	status, report := g.transport.Probe(ctx, v)
-	if answered(status) {
+	switch {
+	case answered(status):
 		g.owner.heard(v)
-	} else {
+	case status == ashwood.NotSent && ctx.Err() == nil: // this machine could not ask
+	default:
 		g.owner.unheard(v, "probe", false)
 	}
 	g.log.Debug("probe", "engine", v.ID, "kind", v.Kind, "status", status, "ms", g.clock.Now()-begun, "report", report)
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -20,6 +20,8 @@
 
 	// ErrUnanswered is of a call that was written whole to a connection that stayed up, and got no answer in its time.
 	ErrUnanswered = errors.New("gateway: written, and not answered")
+	// ErrLocal is of a call that this machine could not make, for want of a socket for instance: it says nothing of the engine.
+	ErrLocal = errors.New("gateway: this machine could not make the call")
 )
 
 // Clock tells the time and calls back; see SystemClock.
@@ -146,7 +148,7 @@
 	// Ready is asked right before the first byte is written.
 	Reserve(ctx context.Context, engine ashwood.Server, id ashwood.RequestID, ready func() bool) Place
 	// Release lets go of all that is held for a request; nil once the engine has sent something back
-	// for it, ErrUnanswered where it was written and that is not known to have arrived. After a try that got no answer, fresh asks for a connection
+	// for it, ErrUnanswered where it was written and that is not known to have arrived, ErrLocal where this machine could not make it. After a try that got no answer, fresh asks for a connection
 	// that was not there then. It may use a few sockets beyond what attempts may.
 	Release(ctx context.Context, engine ashwood.Server, id ashwood.RequestID, fresh bool) error
 	// Probe asks an engine for its load.
--- a/internal/platform/engines.go
+++ b/internal/platform/engines.go
@@ -258,7 +258,7 @@
 	st := ashwood.ConnectionLost
 	switch {
 	case wrote:
-	case ctx.Err() != nil, errors.Is(err, errNotReady), errors.Is(err, errTooMany):
+	case ctx.Err() != nil, errors.Is(err, errNotReady), isLocal(err):
 		st = ashwood.NotSent
 	default:
 		st = ashwood.NoConnection
@@ -337,6 +337,8 @@
 		return nil
 	case wrote && ctx.Err() != nil:
 		return fmt.Errorf("platform: %s: %w: %w", engine.ID, gateway.ErrUnanswered, err)
+	case !wrote && isLocal(err):
+		return fmt.Errorf("platform: %s: %w: %w", engine.ID, gateway.ErrLocal, err)
 	}
 	return fmt.Errorf("platform: %s: %w", engine.ID, err)
 }
--- a/internal/platform/engines_test.go
+++ b/internal/platform/engines_test.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"runtime"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -127,6 +129,10 @@
 	}
 }
 
+func dialError(err error) error {
+	return &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", err)}
+}
+
 // Only what has not left whole is proved not to have run.
 func TestWhatAnAttemptWithoutAnAnswerProves(t *testing.T) {
 	live, ended := context.Background(), func() context.Context {
@@ -146,6 +152,11 @@
 		{ended, false, io.ErrShortWrite, ashwood.NotSent},
 		{live, false, errNotReady, ashwood.NotSent},
 		{live, false, errTooMany, ashwood.NotSent},
+		{live, false, dialError(syscall.ECONNREFUSED), ashwood.NoConnection},
+		{live, false, dialError(syscall.EMFILE), ashwood.NotSent}, // this machine's, which says nothing of the engine
+		{live, false, dialError(syscall.EADDRNOTAVAIL), ashwood.NotSent},
+		{live, false, dialError(syscall.ENETUNREACH), ashwood.NotSent},
+		{live, true, dialError(syscall.ENOBUFS), ashwood.ConnectionLost},
 	}
 	for _, tt := range tests {
 		if got := failed(tt.ctx, tt.wrote, tt.err).Status; got != tt.want {
