--- a/internal/platform/ahead.go
+++ b/internal/platform/ahead.go
@@ -66,9 +66,13 @@
 func (c *clientConn) Read(p []byte) (int, error) {
 	if c.ended {
 		c.again()
+		if c.l.isStopped() { // who closed idle connections has not seen this one
+			c.closeUnread()
+		}
 	}
 	c.mu.Lock()
 	n := copy(p, c.ahead)
+	c.fromAhead = c.fromAhead || n > 0
 	c.ahead = c.ahead[n:]
 	c.lend()
 	c.mu.Unlock()
@@ -92,6 +96,17 @@
 	c.owes.Store(ahead > 0 || c.counted && c.got > c.taken)
 }
 
+// sentAhead tells whether the request that has just been read came, or a part of it, before the answer ahead of it had ended.
+func (c *clientConn) sentAhead() bool {
+	if c.ended { // it was read whole with the one before
+		c.again()
+		return true
+	}
+	ahead := c.fromAhead
+	c.fromAhead = false
+	return ahead
+}
+
 // sentAheadRefusal is the answer to a request that was sent ahead on a connection that closes.
 var sentAheadRefusal = []byte(fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"+
 	"Content-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n\r\n%s", len(refusedText), refusedText))
--- a/internal/platform/closing.go
+++ b/internal/platform/closing.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"io"
 	"net"
 	"syscall"
@@ -239,6 +240,13 @@
 	return closed
 }
 
+// isStopped tells whether connections without a request are closed.
+func (l *listener) isStopped() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stopped
+}
+
 // expire ends the wait for requests of which a part has been read: each gets its error.
 func (l *listener) expire() {
 	for _, c := range l.withoutRequest() {
@@ -296,6 +304,21 @@
 	return true
 }
 
+// waitOpen waits until no connection is open, but for those whose clients may still send.
+func (l *listener) waitOpen(ctx context.Context) error {
+	defer context.AfterFunc(ctx, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.woken.Broadcast()
+	})()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.open > 0 && ctx.Err() == nil {
+		l.woken.Wait()
+	}
+	return ctx.Err()
+}
+
 // wait waits until the descriptors of all connections are gone, for as long as a second step
 // may take.
 func (l *listener) wait() {
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -241,6 +241,7 @@
 	c.left = true
 	l.open--
 	l.closing++
+	l.woken.Broadcast() // a shutdown may wait for it
 	if c.place != nil {
 		l.waiting.Remove(c.place)
 		c.place = nil
@@ -288,6 +289,7 @@
 	// been taken, and whether the last of these has ended.
 	got, taken int
 	counted    bool // taken is known: of a body in chunks, its length on the wire is not
+	fromAhead  bool // some of the next request was read while an answer was under way
 	ended      bool
 
 	mu     sync.Mutex
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -60,6 +61,11 @@
 		"evicted for another": evictOne,
 		"at the stop":         func(s *Server) { s.in.closeIdle() },
 		"as it drains":        func(s *Server) { s.in.closeServed(1) },
+		"by a whole shutdown": func(s *Server) {
+			ended, cancel := context.WithCancel(context.Background())
+			cancel() // it waits for nobody, or it would for this request
+			s.Shutdown(ended)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			gw := &counts{says: says{gateway.Reply{Kind: gateway.Refused}}}
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -36,6 +36,16 @@
 	}
 }
 
+// isStopping tells whether Shutdown has begun.
+func (s *Server) isStopping() bool {
+	select {
+	case <-s.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
 // stopDraining ends the closing of idle connections.
 func (s *Server) stopDraining() {
 	s.closeIdle.Do(func() {})
--- a/internal/platform/ending_test.go
+++ b/internal/platform/ending_test.go
@@ -120,53 +120,62 @@
 // answer's end. If that was read, it is refused and not sent on: a close alone would lose it.
 func TestShutdown_RefusesWhatWasSentAhead(t *testing.T) {
 	new(fasthttp.ResponseHeader).Header() // starts fasthttp's clock of dates, which never ends, outside of the bubble
-	synctest.Test(t, func(t *testing.T) {
-		stream := &pausedStream{end: make(chan struct{})}
-		h := &counts{says: says{gateway.Reply{Kind: gateway.Served, Stream: stream}}}
-		q, s, _ := quiet(t, h, 8)
-		near, c := net.Pipe()
-		q.next <- near
-		defer c.Close()
-		io.WriteString(c, request("chat", "", "{}"))
-		in := bufio.NewReader(c)
-		first, err := http.ReadResponse(in, nil)
-		if err != nil || first.Close {
-			t.Fatalf("%v, %v", first, err)
-		}
-		io.WriteString(c, request("chat", "", "{}"))
-		synctest.Wait() // it has been read
-		s.Drain()
-		stopped := make(chan error, 1)
-		go func() {
-			defer close(stopped)
-			stopped <- s.Shutdown(context.Background())
-		}()
-		defer func() { // or the next shutdown, at the test's end, would wait for this one outside of the bubble's time
-			c.Close()
-			for range stopped {
-				continue
-			}
-		}()
-		synctest.Wait()
-		close(stream.end)
-		if body, err := io.ReadAll(first.Body); string(body) != event1 || err != nil {
-			t.Errorf("the first: %q, %v", body, err)
-		}
-		r, err := http.ReadResponse(in, nil)
-		if err != nil || r.StatusCode != http.StatusServiceUnavailable || !r.Close {
-			t.Fatalf("the second: %v, %v", r, err)
-		}
-		if body, err := io.ReadAll(r.Body); string(body) != refusedText || err != nil {
-			t.Errorf("the second: %q, %v", body, err)
-		}
-		if n, err := in.Read(make([]byte, 1)); n > 0 || err != io.EOF {
-			t.Errorf("behind both: %d, %v", n, err)
-		}
+	for name, together := range map[string]bool{"sent behind it": false, "sent with it": true} {
+		t.Run(name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { refusesSentAhead(t, together) }) })
+	}
+}
+
+func refusesSentAhead(t *testing.T, together bool) {
+	stream := &pausedStream{end: make(chan struct{})}
+	h := &counts{says: says{gateway.Reply{Kind: gateway.Served, Stream: stream}}}
+	q, s, _ := quiet(t, h, 8)
+	near, c := net.Pipe()
+	q.next <- near
+	defer c.Close()
+	one := request("chat", "", "{}")
+	first, rest := one, one
+	if together {
+		first, rest = one+one, ""
+	}
+	io.WriteString(c, first)
+	in := bufio.NewReader(c)
+	answer, err := http.ReadResponse(in, nil)
+	if err != nil || answer.Close {
+		t.Fatalf("%v, %v", first, err)
+	}
+	io.WriteString(c, rest)
+	synctest.Wait() // it has been read
+	s.Drain()
+	stopped := make(chan error, 1)
+	go func() {
+		defer close(stopped)
+		stopped <- s.Shutdown(context.Background())
+	}()
+	defer func() { // or the next shutdown, at the test's end, would wait for this one outside of the bubble's time
 		c.Close()
-		if err := <-stopped; err != nil || h.got.Load() != 1 {
-			t.Errorf("%v, %d sent on", err, h.got.Load())
+		for range stopped {
+			continue
 		}
-	})
+	}()
+	synctest.Wait()
+	close(stream.end)
+	if body, err := io.ReadAll(answer.Body); string(body) != event1 || err != nil {
+		t.Errorf("the first: %q, %v", body, err)
+	}
+	r, err := http.ReadResponse(in, nil)
+	if err != nil || r.StatusCode != http.StatusServiceUnavailable || !r.Close {
+		t.Fatalf("the second: %v, %v", r, err)
+	}
+	if body, err := io.ReadAll(r.Body); string(body) != refusedText || err != nil {
+		t.Errorf("the second: %q, %v", body, err)
+	}
+	if n, err := in.Read(make([]byte, 1)); n > 0 || err != io.EOF {
+		t.Errorf("behind both: %d, %v", n, err)
+	}
+	c.Close()
+	if err := <-stopped; err != nil || h.got.Load() != 1 {
+		t.Errorf("%v, %d sent on", err, h.got.Load())
+	}
 }
 
 // Behind a body in chunks nothing was sent ahead, although its bytes on the wire are more than
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -99,15 +99,19 @@
 	s.expiry.Store(time.AfterFunc(left, s.in.expire))
 }
 
-// Shutdown takes nothing more and waits for what it has taken. Connections without a request
-// are closed here: the library's own sweep compares readings of the wall clock, and leaves new
-// connections that have brought nothing for 5 s.
+// Shutdown takes nothing more and waits for what it has taken, until ctx ends. Connections without a request
+// are closed here: the library's own sweep compares readings of the wall clock, leaves new
+// connections that have brought nothing for 5 s, and drops a request that has just been read. It comes when none is open.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.draining.Store(true)
 	s.StopAccepting()
 	s.stopDraining()
 	closed := s.in.closeIdle()
 	s.log.Info("shutdown: connections without a request are closed", "count", closed)
-	err := s.http.ShutdownWithContext(ctx)
+	err := s.in.waitOpen(ctx)
+	if err == nil {
+		err = s.http.ShutdownWithContext(ctx)
+	}
 	s.adopted.Wait() // each ends with its answer: its connection is closed behind it by now
 	s.in.wait()
 	if t := s.expiry.Load(); t != nil {
@@ -140,13 +144,17 @@
 			ctx.Error("internal error", fasthttp.StatusInternalServerError)
 		}
 	}()
-	clean := false
-	if c, ok := ctx.Conn().(*clientConn); ok {
-		clean = c.take(&ctx.Request)
-	}
-	if string(ctx.Path()) == readyPath && ctx.IsGet() {
+	c, own := ctx.Conn().(*clientConn)
+	clean := own && c.take(&ctx.Request)
+	switch {
+	case own && c.sentAhead() && s.isStopping(): // it is refused, as where its connection is closed behind that answer
+		refuse(ctx, 0)
+	case string(ctx.Path()) == readyPath && ctx.IsGet():
 		ctx.SetStatusCode(s.readiness())
-	} else {
+		if own { // it is no request of a client's, and nothing more is owed for it
+			c.end()
+		}
+	default:
 		Answer(ctx, s.gw, frontName)
 	}
 	if s.draining.Load() || s.yielding.Load() {
