Read a handed-over answer also where the process was stopped before

What a client saw: its begun answer was cut in an upgrade, where the newer process was stopped for over 0.3 s between accepting a hand-over and reading it (open line of the known failures, by reading; a window of some us). Cause: its read deadline is over when it runs again, and the message that lies there is dropped with its connections. Change: the message is read once more behind the deadline.

--- a/internal/handover/streams.go
+++ b/internal/handover/streams.go
@@ -69,11 +69,23 @@
 	}, nil
 }
 
+// readMessage reads one message by the connection's deadline, and once more behind it: a process that was stopped meanwhile
+// finds its deadline over, though the message has come.
+func readMessage(c *net.UnixConn, raw, oob []byte) (n, oobn, flags int, err error) {
+	n, oobn, flags, _, err = c.ReadMsgUnix(raw, oob)
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, oobn, flags, err
+	}
+	c.SetReadDeadline(time.Now().Add(handWait))
+	n, oobn, flags, _, err = c.ReadMsgUnix(raw, oob)
+	return n, oobn, flags, err
+}
+
 // receive reads one message. What is not as Send makes it is dropped, with its connections.
 func receive(c *net.UnixConn) (message []byte, conns []net.Conn, err error) {
 	c.SetReadDeadline(time.Now().Add(handWait))
 	raw, oob := make([]byte, handBytes), make([]byte, unix.CmsgSpace(4*handFiles))
-	n, oobn, flags, _, err := c.ReadMsgUnix(raw, oob)
+	n, oobn, flags, err := readMessage(c, raw, oob)
 	if err != nil {
 		return nil, nil, fmt.Errorf("handover: %w", err)
 	}
