Tell releases to more than two engines that leave calls unanswered

What engines saw: where many engines are stopped and one hangs, KV state and reservations stood at all of them, though that one runs: a call counts once its last byte reaches an engine that runs, answered or not, and each release was told to two that let it be written alone (open line of the known failures). TestHolds_HungEngineAmongStoppedOnes: 3 of 6 releases among three engines, 0 of 1 among five and among eight reached it in the rule's 0.8 s; all do now. Cause: a bound of two for each release, whatever room there is for calls. Change: a release goes on from engine to engine, one call behind the other, while fewer calls that may not be answered are out than a pass may have (six); the first two are told whatever is out. A check that was wrong: TestFallback_EnginesWithoutAnswers wanted no third engine ever; it asks now for each engine once, for two where the room is full, and for no more than these.

--- a/gateway/fallback_test.go
+++ b/gateway/fallback_test.go
@@ -138,6 +138,40 @@
 	}
 }
 
+// How a hung engine was not told among stopped ones (open line of the known failures): both let releases be written and answer none, and
+// each release was told to two such engines alone. One release among up to eight, and six among three, reach it in the rule's time; more
+// take longer, as a gateway has no more than searchAtOnce such calls out.
+func TestHolds_HungEngineAmongStoppedOnes(t *testing.T) {
+	const ruleTime = 800 * time.Millisecond
+	for _, tt := range []struct{ engines, holds int }{{3, 6}, {5, 1}, {8, 1}} {
+		t.Run(fmt.Sprint(tt.engines, " engines, holds ", tt.holds), func(t *testing.T) {
+			p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6, "w1": 1e6}}
+			in(t, p, func(t *testing.T, g *Gateway) {
+				p.freed = make(chan string, 999)
+				fleet := fleetOf(p, g, tt.engines)
+				p.mu.Lock()
+				p.stopped, p.hung = map[ashwood.ServerID]bool{}, map[ashwood.ServerID]bool{}
+				for i, id := range fleet {
+					p.silent[id] = 0
+					p.stopped[id], p.hung[id] = i != 1, i == 1
+				}
+				p.mu.Unlock()
+				for _, id := range fleet { // each is known to leave calls unanswered
+					held(g, ashwood.RequestID("other"+string(id)), id).release(true)
+				}
+				time.Sleep(2 * time.Second)
+				for i := range tt.holds {
+					held(g, ashwood.RequestID(fmt.Sprint("q", i)), "r1").release(true)
+				}
+				time.Sleep(ruleTime)
+				if told := p.released(fleet[1], "q"); len(told) != tt.holds {
+					t.Errorf("told of %d releases within %v, want %d", len(told), ruleTime, tt.holds)
+				}
+			})
+		})
+	}
+}
+
 // What waits is not told beside a new attempt that may just be on its way, whose state it would take; where that attempt
 // never left, it is. With an attempt's answer, or the first token, all that was held goes, and nobody is told any more.
 func TestHolds_FallbackDoesNotOvertake(t *testing.T) {
--- a/gateway/peer_test.go
+++ b/gateway/peer_test.go
@@ -28,6 +28,7 @@
 	refuse    map[ashwood.ServerID]int  // releases that fail to connect
 	silent    map[ashwood.ServerID]int  // releases written to a connection gone silent
 	hung      map[ashwood.ServerID]bool // engines that take releases and answer none
+	stopped   map[ashwood.ServerID]bool // engines that let calls be written and read none
 	local     int                       // calls that this machine can't make
 	releases  []release.Key             // that engines have taken
 	fresh     []bool                    // whether each release was to go on a new connection
@@ -109,6 +110,12 @@
 		return ctx.Err()
 	}
 	defer p.mu.Unlock()
+	if p.stopped[v.ID] {
+		p.mu.Unlock()
+		<-ctx.Done()
+		p.mu.Lock()
+		return ErrUnanswered
+	}
 	if p.refuse[v.ID] > 0 {
 		p.refuse[v.ID]--
 		return errors.New("no connection")
--- a/internal/release/fallback.go
+++ b/internal/release/fallback.go
@@ -36,6 +36,7 @@
 	pass      []ashwood.Server                    // engines still to be asked in this one
 	passFrom  float64                             // ms, when the next pass may begin
 	asking    int                                 // calls out of a pass
+	muteOut   int                                 // calls out at mute engines, but for those of a pass
 	calls     int
 }
 
@@ -54,8 +55,9 @@
 	rank   float64 // among those with as many, drawn, so that gateways don't all choose one
 }
 
-// mostMute bounds the engines that a release is told to without an answer.
-const mostMute = 2
+// muteAtOnce is how many engines a release is told to without an answer whatever else is out. More are told, one behind the other, while
+// fewer than AtOnce calls are that may not be answered: one of them may run, and answers no more than those that are stopped.
+const muteAtOnce = 2
 
 // CallEnd is what came of a call.
 type CallEnd int
@@ -72,6 +74,7 @@
 	Request ashwood.RequestID
 	Engine  ashwood.Server
 	search  bool // the engine may not answer
+	mute    bool // it has left the last one without an answer
 	number  int
 }
 
@@ -185,6 +188,9 @@
 		}
 		e.out++
 		call := f.call(w, e.server, false)
+		if call.mute = f.mute[e.server.ID] == e; call.mute {
+			f.muteOut++
+		}
 		w.out = call.number
 		calls = append(calls, call)
 	}
@@ -207,7 +213,7 @@
 	switch {
 	case len(f.answering) > 0:
 		return f.idlest(f.answering, w, nil) // also one that was told without an answer: its connection alone may have been silent
-	case len(w.mute) < mostMute:
+	case len(w.mute) < muteAtOnce || f.muteOut+f.asking < f.cfg.AtOnce:
 		return f.idlest(f.mute, w, w.mute)
 	}
 	return nil
@@ -268,6 +274,9 @@
 	if c.search {
 		f.asking--
 	}
+	if c.mute {
+		f.muteOut--
+	}
 	for _, engines := range []map[ashwood.ServerID]*callee{f.answering, f.mute} {
 		if e := engines[c.Engine.ID]; e != nil && !c.search {
 			e.out = max(e.out-1, 0)
--- a/internal/release/fallback_test.go
+++ b/internal/release/fallback_test.go
@@ -147,10 +147,20 @@
 	}
 }
 
-// Where no engine answers, a release is told once to mostMute of the engines that let it be written, also beside a pass, and
-// waits on for one that answers. Engines that are not known to run any more are forgotten.
+// Where no engine answers, a release is told once to each of the engines that let it be written, one behind the other, also beside a
+// pass: to muteAtOnce of them where other such calls fill the room for them. It waits on for one that answers.
+// Engines that are not known to run any more are forgotten.
 func TestFallback_EnginesWithoutAnswers(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		t.Run(fmt.Sprint("the room is full: ", full), func(t *testing.T) { toldWithoutAnswers(t, full) })
+	}
+}
+
+func toldWithoutAnswers(t *testing.T, full bool) {
 	f := fallbackOf(10)
+	if full {
+		f.muteOut = f.cfg.AtOnce
+	}
 	f.cfg.Called = func(ashwood.ServerID) bool { return true }
 	for _, id := range []string{"a", "b", "c"} {
 		f.Unanswered(server(id), true)
@@ -164,9 +174,20 @@
 		t.Fatalf("told %v, want c or e", calls)
 	}
 	f.Done(calls[0], CallUnanswered)
+	if !full {
+		told := calls[0].Engine.ID
+		calls, _ = f.Due(50, fleet(4))
+		if len(calls) != 1 || calls[0].Engine.ID == told || calls[0].Engine.ID != "c" && calls[0].Engine.ID != "e" {
+			t.Fatalf("told %v behind %s, want the other of c and e", calls, told)
+		}
+		f.Done(calls[0], CallUnanswered)
+	}
 	if calls, _ = f.Due(100, fleet(4)); len(calls) != 0 || f.Len() != 1 {
 		t.Errorf("told again: %v, %d wait", calls, f.Len())
 	}
+	if want := map[bool]int{true: f.cfg.AtOnce}[full]; f.muteOut != want {
+		t.Errorf("%d calls without an answer are out, want %d", f.muteOut, want)
+	}
 	f.Answered(server("c")) // the call without an answer may have gone on a connection that was silent
 	calls, _ = f.Due(200, fleet(4))
 	if len(calls) != 1 || calls[0].Engine.ID != "c" {
