--- a/gateway/fallback_test.go
+++ b/gateway/fallback_test.go
@@ -30,6 +30,18 @@
 	return list
 }
 
+// ruleTime is the rule's time for what is held with no attempt out.
+const ruleTime = 800 * time.Millisecond
+
+// inSilentFleet runs f with a gateway that lists so many engines beside r1 and w1, all of them silent.
+func inSilentFleet(t *testing.T, engines int, f func(t *testing.T, p *peer, g *Gateway, fleet []ashwood.ServerID)) {
+	p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6, "w1": 1e6}}
+	in(t, p, func(t *testing.T, g *Gateway) {
+		p.freed = make(chan string, 999)
+		f(t, p, g, fleetOf(p, g, engines))
+	})
+}
+
 // told counts the calls that have got through, by engine.
 func (p *peer) toldSoFar() map[string]int {
 	told := map[string]int{}
@@ -63,15 +75,12 @@
 // Whichever engine is back first, and whenever: it is told within the rule's time of 800 ms, one call for
 // each release that waits, though the holder never comes back.
 func TestHolds_FirstEngineBackIsTold(t *testing.T) {
-	const ruleTime = 800 * time.Millisecond
 	const holds = 12
 	for _, engines := range []int{1, 5, 30} {
 		for _, silence := range []time.Duration{110, 250, 390, 410, 510, 1000, 4000, 30000} {
 			silence *= time.Millisecond
 			t.Run(fmt.Sprint(engines, " engines silent for ", silence), func(t *testing.T) {
-				p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6, "w1": 1e6}}
-				in(t, p, func(t *testing.T, g *Gateway) {
-					fleet := fleetOf(p, g, engines)
+				inSilentFleet(t, engines, func(t *testing.T, p *peer, g *Gateway, fleet []ashwood.ServerID) {
 					for i := range holds {
 						held(g, ashwood.RequestID(fmt.Sprint("q", i)), "r1").release(true)
 					}
@@ -100,7 +109,7 @@
 // An engine that takes calls and answers none may run: each release that waits is told to it in the rule's time, and once, as all
 // that is written to a stopped one is read when it runs again.
 func TestHolds_HungEngineIsTold(t *testing.T) {
-	const ruleTime, holds, engines = 800 * time.Millisecond, 12, 5
+	const holds, engines = 12, 5
 	for name, hang := range map[string]func(*peer, *Gateway){
 		"known to leave calls unanswered": func(p *peer, g *Gateway) {
 			p.hangs("e2")
@@ -110,10 +119,7 @@
 		"not known": func(p *peer, _ *Gateway) { p.hangs("e2") },
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6, "w1": 1e6}}
-			in(t, p, func(t *testing.T, g *Gateway) {
-				p.freed = make(chan string, 999)
-				fleetOf(p, g, engines)
+			inSilentFleet(t, engines, func(t *testing.T, p *peer, g *Gateway, _ []ashwood.ServerID) {
 				hang(p, g)
 				p.toldSoFar()
 				for i := range holds {
@@ -142,13 +148,9 @@
 // each release was told to two such engines alone. One release among up to eight, and six among three, reach it in the rule's time; more
 // take longer, as a gateway has no more than searchAtOnce such calls out.
 func TestHolds_HungEngineAmongStoppedOnes(t *testing.T) {
-	const ruleTime = 800 * time.Millisecond
 	for _, tt := range []struct{ engines, holds int }{{3, 6}, {5, 1}, {8, 1}} {
 		t.Run(fmt.Sprint(tt.engines, " engines, holds ", tt.holds), func(t *testing.T) {
-			p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6, "w1": 1e6}}
-			in(t, p, func(t *testing.T, g *Gateway) {
-				p.freed = make(chan string, 999)
-				fleet := fleetOf(p, g, tt.engines)
+			inSilentFleet(t, tt.engines, func(t *testing.T, p *peer, g *Gateway, fleet []ashwood.ServerID) {
 				p.mu.Lock()
 				p.stopped, p.hung = map[ashwood.ServerID]bool{}, map[ashwood.ServerID]bool{}
 				for i, id := range fleet {
@@ -193,9 +195,7 @@
 		"begun": {func(_ *Gateway, h *holds) { h.begin() }, 400 * time.Millisecond, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6, "w1": 1e6}}
-			in(t, p, func(t *testing.T, g *Gateway) {
-				fleet := fleetOf(p, g, 5)
+			inSilentFleet(t, 5, func(t *testing.T, p *peer, g *Gateway, fleet []ashwood.ServerID) {
 				h := held(g, "q", "r1")
 				h.release(false)
 				time.Sleep(time.Second)
@@ -285,9 +285,7 @@
 // The holder may be the first that is back: it is told of all, and nobody else is then.
 func TestHolds_HolderIsBackFirst(t *testing.T) {
 	const holds = 12
-	p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6, "w1": 1e6}}
-	in(t, p, func(t *testing.T, g *Gateway) {
-		fleet := fleetOf(p, g, 5)
+	inSilentFleet(t, 5, func(t *testing.T, p *peer, g *Gateway, fleet []ashwood.ServerID) {
 		for i := range holds {
 			held(g, ashwood.RequestID(fmt.Sprint("q", i)), "r1").release(true)
 		}
@@ -309,9 +307,7 @@
 func TestHolds_WaitingCostsNoCalls(t *testing.T) {
 	const holds = 100
 	calls := func(more int) (n int) {
-		p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6, "w1": 1e6}}
-		in(t, p, func(t *testing.T, g *Gateway) {
-			fleetOf(p, g, 5)
+		inSilentFleet(t, 5, func(t *testing.T, p *peer, g *Gateway, _ []ashwood.ServerID) {
 			held(g, "q", "r1").release(true)
 			time.Sleep(2 * time.Second)
 			for i := range more {
@@ -333,12 +329,9 @@
 // without anybody being told; the second is silent. The end of the first counted as a release that was made, so that
 // others were never asked, and the second's hold stood until it ran again.
 func TestHolds_RestartedHolderIsNotTold(t *testing.T) {
-	const ruleTime = 800 * time.Millisecond
 	for name, started := range map[string]time.Duration{"starts anew": time.Millisecond, "stays": 0} {
 		t.Run(name, func(t *testing.T) {
-			p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6, "w1": 1e6}}
-			in(t, p, func(t *testing.T, g *Gateway) {
-				fleet := fleetOf(p, g, 5)
+			inSilentFleet(t, 5, func(t *testing.T, p *peer, g *Gateway, fleet []ashwood.ServerID) {
 				p.hear(fleet[0])
 				held(g, "q", "r1", "w1").release(true)
 				time.Sleep(10 * time.Millisecond)
--- a/gateway/holds_time_test.go
+++ b/gateway/holds_time_test.go
@@ -303,7 +303,6 @@
 // same moment, and with that the repeats of the release were taken back, as they could take what comes to be
 // held by then. But e4 is silent: nothing comes to be held, and e8 is not told before the request's end at 5.78.
 func TestHolds_GivenUpBesideASilentNext(t *testing.T) {
-	const ruleTime = 800 * time.Millisecond
 	p := &peer{nodes: 2, mute: true}
 	in(t, p, func(t *testing.T, g *Gateway) {
 		h := held(g, "q", "r1")
--- a/gateway/repeat_test.go
+++ b/gateway/repeat_test.go
@@ -38,7 +38,6 @@
 // Where the engine that took a release in doubt can't be told again, another is, in the rule's time of 800 ms and once for
 // each repeat; the first that is back, where none answers.
 func TestHolds_RepeatsGoToOthers(t *testing.T) {
-	const ruleTime = 800 * time.Millisecond
 	const repeats = 2
 	for name, tt := range map[string]struct {
 		silence  time.Duration // of others
@@ -50,9 +49,7 @@
 		"one is back later":         {3 * time.Second, 1, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6, "w1": 1e6}}
-			in(t, p, func(t *testing.T, g *Gateway) {
-				fleet := fleetOf(p, g, 5)
+			inSilentFleet(t, 5, func(t *testing.T, p *peer, g *Gateway, fleet []ashwood.ServerID) {
 				p.hear("r1")
 				p.inDoubtThenSilent(t, g, "r1", true)
 				time.Sleep(tt.silence)
@@ -120,9 +117,7 @@
 
 // The engine itself may be back first: it is told, and nobody else is any more.
 func TestHolds_RepeatsAtTheEngineItself(t *testing.T) {
-	p := &peer{silent: map[ashwood.ServerID]int{"r1": 1e6, "w1": 1e6}}
-	in(t, p, func(t *testing.T, g *Gateway) {
-		fleet := fleetOf(p, g, 5)
+	inSilentFleet(t, 5, func(t *testing.T, p *peer, g *Gateway, fleet []ashwood.ServerID) {
 		p.hear("r1")
 		p.inDoubtThenSilent(t, g, "r1", true)
 		time.Sleep(2 * time.Second)
@@ -141,7 +136,6 @@
 // millisecond in which it dies ("release … engine=e3 try=0 ms=0.82 err=<nil>"), which counted as made for e0 as well;
 // e0 could not be told for 0.96 s ("engine=e0 … i/o timeout"), and nobody else was asked.
 func TestHolds_RepeatsBehindARestart(t *testing.T) {
-	const ruleTime = 800 * time.Millisecond
 	for name, change := range map[string]func(*Gateway){
 		"dies": func(*Gateway) {},
 		"starts anew": func(g *Gateway) {
