--- a/lab/soak/held_test.go
+++ b/lab/soak/held_test.go
@@ -70,12 +70,22 @@
 	{"one zone is cut off", func(s *Story) {
 		s.Events = []Event{{Kind: Cut, At: time.Second, For: 4 * time.Second, Engines: []int{2, 3}, Gateways: []int{0}}}
 	}},
+	{"all but one vanish, and that hangs", func(s *Story) { s.Events = goneBut(EngineVanishes) }},
+	{"all but one are stopped, and that hangs", func(s *Story) { s.Events = goneBut(EngineStops) }},
 	{"releases count at their engine alone", func(s *Story) {
 		s.OwnReleases = true
 		s.Events = silentAt(time.Second, 4*time.Second, 1, 3)
 	}},
 }
 
+// goneBut has a decode engine take calls and answer none, and all others fall silent a little later: releases reach that one alone.
+func goneBut(how EventKind) []Event {
+	return []Event{
+		{Kind: EngineHangs, At: time.Second, For: 4 * time.Second, Engines: []int{3}},
+		{Kind: how, At: 1200 * time.Millisecond, For: 3500 * time.Millisecond, Engines: []int{0, 1, 2}},
+	}
+}
+
 func silentAt(at, length time.Duration, engines ...int) []Event {
 	return []Event{{Kind: EngineStops, At: at, For: length, Engines: engines}}
 }
