Judge a gateway's end in the soak by whether that process was killed

The check excused any end within a second behind a kill, whichever process it was, and none later; how late the end of a killed process is seen was not recorded. It goes by the process now, which is stricter for the one that follows, and the time from the kill to the end is noted with what is late.

--- a/lab/soak/lateness.go
+++ b/lab/soak/lateness.go
@@ -26,6 +26,7 @@
 	lateSweep  lateKind = "the checker's sweep ran" // behind its time
 	lateTimer  lateKind = "a timer fired"
 	lateClient lateKind = "a client read an event" // behind the arrival of its last byte
+	lateEnd    lateKind = "a killed gateway ended"
 	lateHost   lateKind = "the host gave processors"
 )
 
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -33,6 +33,7 @@
 	agent   *agent
 	told    time.Time // when the present process was told to end; zero = not
 	killed  time.Time // when the last one was killed
+	killing *exec.Cmd // the process that was
 	toldOld time.Time // when that had been told
 	log     bytes.Buffer
 }
@@ -102,15 +103,18 @@
 			g.log.WriteByte('\n')
 			g.mu.Unlock()
 		}
-		g.judge(cmd.Wait())
+		g.judge(cmd, cmd.Wait())
 	}()
 	return g.ready(ended)
 }
 
 // judge tells of a process that ended though nobody had told it to, or in disorder.
-func (g *gateway) judge(err error) {
+func (g *gateway) judge(cmd *exec.Cmd, err error) {
 	g.mu.Lock()
-	text, told, killed := g.log.String(), !g.told.IsZero(), !g.killed.IsZero() && time.Since(g.killed) < time.Second
+	text, told, killed := g.log.String(), !g.told.IsZero(), g.killing == cmd
+	if killed {
+		g.world.check.wasLate(lateEnd, g.killed, time.Since(g.killed))
+	}
 	g.mu.Unlock()
 	switch {
 	case strings.Contains(text, "panic") || strings.Contains(text, "DATA RACE") || strings.Contains(text, "fatal error"):
@@ -215,7 +219,7 @@
 		g.mu.Unlock()
 		return
 	}
-	g.killed, g.toldOld = time.Now(), g.told
+	g.killed, g.toldOld, g.killing = time.Now(), g.told, g.cmd
 	g.mu.Unlock()
 	g.signal(syscall.SIGKILL)
 	<-ended
