--- a/lab/soak/held_test.go
+++ b/lab/soak/held_test.go
@@ -70,6 +70,10 @@
 	{"one zone is cut off", func(s *Story) {
 		s.Events = []Event{{Kind: Cut, At: time.Second, For: 4 * time.Second, Engines: []int{2, 3}, Gateways: []int{0}}}
 	}},
+	{"decode engines hang, and releases count at their engine alone", func(s *Story) {
+		s.OwnReleases = true
+		s.Events = []Event{{Kind: EngineHangs, At: time.Second, For: 4 * time.Second, Engines: []int{1, 3}}}
+	}},
 	{"all but one vanish, and that hangs", func(s *Story) { s.Events = goneBut(EngineVanishes) }},
 	{"all but one are stopped, and that hangs", func(s *Story) { s.Events = goneBut(EngineStops) }},
 	{"releases count at their engine alone", func(s *Story) {
