--- a/gateway/liveness_test.go
+++ b/gateway/liveness_test.go
@@ -52,6 +52,10 @@
 		if told := p.toldSoFar(); told["w1"] == 0 {
 			t.Errorf("told once this machine could: %v", told)
 		}
+		g.live.mu.Lock()
+		defer g.live.mu.Unlock()
+		g.owner.mu.Lock()
+		defer g.owner.mu.Unlock()
 		if len(g.live.engines) > 0 || len(g.owner.recent) != 1 {
 			t.Errorf("taken for silent: %v; heard last: %v", g.live.engines, g.owner.recent)
 		}
--- a/gateway/peer_test.go
+++ b/gateway/peer_test.go
@@ -136,7 +136,10 @@
 
 func (p *peer) Probe(ctx context.Context, v ashwood.Server) (ashwood.Status, ashwood.Report) {
 	p.probed <- string(v.ID)
-	if p.local > 0 {
+	p.mu.Lock()
+	local := p.local > 0
+	p.mu.Unlock()
+	if local {
 		return ashwood.NotSent, nil
 	}
 	if p.mute {
