--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
-go build -o review/bin/ ./review/stand
+go build -o review/bin/ ./review/stand ./review/boxes
