Review case 2: calls that gRPC clients never finish take the gateway over its memory

Cause: the gRPC front bounds neither the time until a call's message is complete nor the memory of those under way; 81 connections may hold 256 messages of 256 KiB each.

--- a/review/boxes/main.go
+++ b/review/boxes/main.go
@@ -28,9 +28,10 @@
 	dir := flag.String("dir", "", "temporary folder")
 	recordPath := flag.String("record", "record.txt", "file for the record")
 	failing := flag.Bool("failing", false, "one of the writers fails half of its calls, after it has run them")
+	bad := flag.Bool("bad", false, "1,600 calls are begun by clients that never finish them")
 	payouts := flag.Int("payouts", 120, "number of payouts that clients ask for")
 	flag.Parse()
-	code, err := play(*dir, *recordPath, *failing, *payouts)
+	code, err := play(*dir, *recordPath, *failing, *bad, *payouts)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "boxes:", err)
 		os.Exit(exitNotRun)
@@ -38,7 +39,7 @@
 	os.Exit(code)
 }
 
-func play(dir, recordPath string, failing bool, payouts int) (int, error) {
+func play(dir, recordPath string, failing, bad bool, payouts int) (int, error) {
 	rec, err := newRecord(recordPath)
 	if err != nil {
 		return exitNotRun, err
@@ -88,7 +89,7 @@
 			return exitNotRun, err
 		}
 	}
-	return w.run(dir, ports[1], payouts)
+	return w.run(dir, ports[1], bad, payouts)
 }
 
 // configuration returns the gateway's configuration: one gateway, three classes, prefill and decode boxes.
--- a/review/boxes/world.go
+++ b/review/boxes/world.go
@@ -127,7 +127,7 @@
 }
 
 // run plays the clients once the gateway serves, and returns the case's exit code.
-func (w *world) run(dir, gateway string, payouts int) (int, error) {
+func (w *world) run(dir, gateway string, bad bool, payouts int) (int, error) {
 	conn, err := grpc.NewClient("passthrough:///"+gateway, grpc.WithTransportCredentials(insecure.NewCredentials()))
 	if err != nil {
 		return exitNotRun, err
@@ -148,6 +148,9 @@
 	}
 	var all sync.WaitGroup
 	for n := range payouts {
+		if bad && n == 20 { // 2 s after the first
+			all.Go(func() { w.playBad(gateway) })
+		}
 		all.Go(func() { w.order(client, fmt.Sprintf("payout-%d", n)) })
 		time.Sleep(100 * time.Millisecond)
 	}
--- a/review/common.sh
+++ b/review/common.sh
@@ -8,7 +8,13 @@
 
 # finish ends every process that the script has started.
 finish() {
-	for pid in ${pids[@]+"${pids[@]}"}; do kill -KILL "$pid" 2>/dev/null; done
+	local i
+	kill -TERM ${pids[@]+"${pids[@]}"} 2>/dev/null
+	for ((i = 0; i < 50; i++)); do
+		kill -0 ${pids[@]+"${pids[@]}"} 2>/dev/null || break
+		sleep 0.1
+	done
+	kill -KILL ${pids[@]+"${pids[@]}"} 2>/dev/null
 	wait 2>/dev/null
 	rm -rf "$tmp"
 }
@@ -25,6 +31,10 @@
 	own=$(mktemp -d -p "$tmp")
 	(cd "$root" && exec env TMPDIR="$own" ROUTER_CONFIG="$config" "$@" /bin/sh -c "$run") 2>>"$tmp/gateways.log" >&2 &
 	pids+=($!)
+	if [ -n "${watch_gateway:-}" ]; then
+		"$watch_gateway" $! &
+		pids+=($!)
+	fi
 }
 
 # play NAME FLAG... starts the stand-ins, then the gateways, and returns the stand-ins' exit code.
