--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,7 +26,7 @@
 	probeTimeout       = 800  // the decision module waits as long for a probe, since a busy engine answers late
 	stallSuspectAfter  = 3500 // silence after which a begun answer is checked for a stall
 	stallCheckInterval = 250  // between two such checks
-	stallTimeout       = 4500 // for the next piece in any case: a client may wait for at most 5 s (PROTOCOL, Figures)
+	stallTimeout       = 4500 // for the end of the next event in any case: a client may wait for at most 5 s (PROTOCOL, Figures)
 )
 
 // Gateway serves requests over a Transport as the decision module directs.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -20,7 +20,8 @@
 	cancel     context.CancelCauseFunc
 	engine     ashwood.Server
 	progress   *engineProgress // progress of all answers of the engine
-	pieceCount int             // received so far
+	eventCount int             // received so far
+	eventWait  float64         // ms waited in Next since the last event ended
 	class      string
 	startedAt  float64 // when the request was accepted
 	ended      bool
@@ -30,33 +31,44 @@
 // has vanished, or while the engine is busy: so that the client does not wait forever, a stalled answer is
 // cancelled and counts as broken.
 func (s *stream) Next() ([]byte, error) {
-	stop := s.watchStall()
+	calledAt := s.gateway.clock.Now()
+	stop := s.watchStall(calledAt)
 	piece, err := s.Stream.Next()
 	stop()
+	s.eventWait += s.gateway.clock.Now() - calledAt
 	switch {
 	case err == nil:
-		s.pieceCount++
+		if s.eventEnded() {
+			s.eventCount, s.eventWait = s.eventCount+1, 0
+		}
 	case errors.Is(err, io.EOF):
 		s.end(ashwood.StatusServed)
 	case s.clientCtx.Err() != nil:
 		s.end(ashwood.StatusCancelled)
 		err = ErrClientGone
 	default:
-		s.gateway.log.Debug("stream broke", "id", s.id, "err", err)
+		s.gateway.log.Debug("stream broke", "id", s.id, "err", err, "waited_ms", s.eventWait)
 		s.end(ashwood.StatusConnectionLost)
 	}
 	return piece, err
 }
 
-// watchStall cancels the answer if it has stopped. The decision module may know that from other answers or from
-// a probe. Without any evidence, the answer is cancelled after stallTimeout, within the time that its client may wait. A hanging
+// eventEnded reports whether an event ended in the last piece.
+func (s *stream) eventEnded() bool {
+	events, ok := s.Stream.(EventStream)
+	return !ok || events.EventEnded()
+}
+
+// watchStall cancels the answer if it has been silent since the time since and has stopped. The decision module may know that
+// from other answers or from a probe. Without any evidence, the answer is cancelled once its next event has been awaited for
+// stallTimeout, within the time that its client may wait: an engine may fall silent within an event as well as between two. A hanging
 // answer is not distinguished from a stopped one then: of some 3,000 answers that were silent for over a second in
 // eight series of runs in tight situations, none continued.
-func (s *stream) watchStall() (stop func()) {
+func (s *stream) watchStall(since float64) (stop func()) {
 	var mu sync.Mutex
 	var cancel func() bool
 	var check func()
-	over, firstPiece, since := false, s.pieceCount == 1, s.gateway.clock.Now()
+	over, oneEvent, timeout := false, s.eventCount == 1, stallTimeout-s.eventWait
 	s.progress.advance(since) // the previous piece has just been passed on
 	schedule := func(ms float64) {
 		mu.Lock()
@@ -66,8 +78,8 @@
 		}
 	}
 	check = func() {
-		stalled, shouldProbe := s.gateway.router.AnswerStalled(s.id, s.attempt, s.engine.ID, since, s.progress.at(), firstPiece)
-		remaining := stallTimeout - (s.gateway.clock.Now() - since)
+		stalled, shouldProbe := s.gateway.router.AnswerStalled(s.id, s.attempt, s.engine.ID, since, s.progress.at(), oneEvent)
+		remaining := timeout - (s.gateway.clock.Now() - since)
 		if stalled || remaining <= 0 {
 			s.cancel(ErrStalled)
 			return
@@ -77,7 +89,7 @@
 			s.gateway.runInBackground(func() { s.gateway.probe(s.engine) })
 		}
 	}
-	schedule(stallSuspectAfter)
+	schedule(min(stallSuspectAfter, timeout))
 	return func() {
 		mu.Lock()
 		defer mu.Unlock()
@@ -94,7 +106,7 @@
 		return fmt.Errorf("gateway: a stream of type %T cannot be handed over", s.Stream)
 	}
 	err := source.HandOver(func(state HandoverState) error {
-		state.ID, state.Class, state.Engine, state.StartedAt = s.id, s.class, s.engine, s.startedAt
+		state.ID, state.Class, state.Engine, state.StartedAt, state.EventWait = s.id, s.class, s.engine, s.startedAt, s.eventWait
 		return give(state)
 	})
 	if err == nil {
@@ -114,7 +126,10 @@
 		return nil, err
 	}
 	g.log.Debug("adopted", "id", state.ID, "class", state.Class, "engine", state.Engine.ID, "ms", g.clock.Now()-state.StartedAt)
-	return &stream{Stream: inner, gateway: g, clientCtx: ctx, id: state.ID, engine: state.Engine, progress: g.progress.join(state.Engine.ID), cancel: cancel, class: state.Class, startedAt: state.StartedAt, pieceCount: 2}, nil
+	return &stream{
+		Stream: inner, gateway: g, clientCtx: ctx, id: state.ID, engine: state.Engine, progress: g.progress.join(state.Engine.ID), cancel: cancel,
+		class: state.Class, startedAt: state.StartedAt, eventCount: 2, eventWait: state.EventWait,
+	}, nil
 }
 
 // Close cancels the answer if it has not ended.
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -102,6 +102,13 @@
 	Close() error
 }
 
+// EventStream is a stream whose pieces need not end where an event of the answer ends. Of any other stream,
+// each piece is an event.
+type EventStream interface {
+	// EventEnded reports whether an event ended in the last piece that Next returned.
+	EventEnded() bool
+}
+
 // HandoverStream is a stream that another process of the same gateway can take over.
 type HandoverStream interface {
 	// HandOver passes the state of the stream to give, between two calls of Next. If it returns nil, this
@@ -116,6 +123,7 @@
 	Class          string
 	Engine         ashwood.Server
 	StartedAt      float64      // ms of the clock, when the request was accepted
+	EventWait      float64      // ms waited so far for the end of the current event
 	TransportState any          // the transport's position in the stream
 	Conn           syscall.Conn // the engine's connection
 }
--- a/internal/platform/chunks.go
+++ b/internal/platform/chunks.go
@@ -21,25 +21,25 @@
 var errMalformed = errors.New("platform: a spoilt answer") // sent to clients
 
 // chunkedReader reads a chunked body. Unlike the standard library's reader it limits the
-// size of a chunk and the time for it: startTimeout starts the timeout in which a chunk
-// that has begun must be read. Waiting for the next chunk has no limit here.
+// size of a chunk, and it returns what has arrived of a chunk without waiting for the rest.
+// It has no time limits: whoever waits for the answer knows how long a silence may last.
 type chunkedReader struct {
 	reader       *bufio.Reader
-	startTimeout func() (stop func())
 	remaining    int  // bytes of the current chunk still to be read
+	lineBreakDue bool // the line break behind the current chunk's data is still to be read
 	ended        bool // the last chunk and the trailers have been read
 }
 
-// Read reads bytes of one chunk, all of it if p has room. It returns io.EOF after
-// the last chunk and the trailers.
+// Read reads what has arrived of one chunk. It returns io.EOF after the last chunk and the trailers.
 func (c *chunkedReader) Read(p []byte) (n int, err error) {
 	if c.ended {
 		return 0, io.EOF
 	}
-	if _, err := c.reader.Peek(1); err != nil {
-		return 0, unexpectedEOF(err)
+	if c.lineBreakDue {
+		if err := c.readLineBreak(); err != nil {
+			return 0, err
+		}
 	}
-	defer c.startTimeout()()
 	if c.remaining == 0 {
 		if c.remaining, err = c.readSize(); err != nil {
 			return 0, err
@@ -52,18 +52,32 @@
 			return 0, io.EOF
 		}
 	}
-	n, err = io.ReadFull(c.reader, p[:min(len(p), c.remaining)])
+	n, err = c.reader.Read(p[:min(len(p), c.remaining)])
+	c.remaining -= n
+	c.lineBreakDue = c.remaining == 0
 	if err != nil {
-		return 0, unexpectedEOF(err)
+		return n, unexpectedEOF(err)
 	}
-	if c.remaining -= n; c.remaining > 0 {
-		return n, nil
+	if c.lineBreakDue && c.lineIsBuffered() {
+		err = c.readLineBreak()
 	}
-	end, err := c.readLine()
-	if err == nil && len(end) > 0 {
+	return n, err
+}
+
+// lineIsBuffered reports whether the next line can be read without waiting.
+func (c *chunkedReader) lineIsBuffered() bool {
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	return bytes.IndexByte(buffered, '\n') >= 0
+}
+
+// readLineBreak reads the line break behind a chunk's data.
+func (c *chunkedReader) readLineBreak() error {
+	line, err := c.readLine()
+	if err == nil && len(line) > 0 {
 		err = fmt.Errorf("%w: a chunk goes on beyond its size", errMalformed)
 	}
-	return n, err
+	c.lineBreakDue = err != nil
+	return err
 }
 
 func (c *chunkedReader) readSize() (int, error) {
--- a/internal/platform/engines.go
+++ b/internal/platform/engines.go
@@ -40,7 +40,7 @@
 	loadReportPath        = "/-/load"
 	loadReportComment     = ": " + headerLoadReport + ": "
 	maxShortBody          = 64 << 10
-	completionTimeout     = 300.0 // in which a response header, chunk or short body must be complete once it has begun
+	completionTimeout     = 300.0 // in which a response header, a stream's first event or a short body must be complete once it has begun
 	sweepInterval         = 1000.0
 	defaultConnectTimeout = 250.0
 	defaultIdleTimeout    = 15000.0
@@ -299,7 +299,7 @@
 		_, err = io.ReadFull(c.reader, body)
 		return body, err
 	case n == -1:
-		body, err = io.ReadAll(io.LimitReader(&chunkedReader{reader: c.reader, startTimeout: func() func() { return func() {} }}, maxShortBody))
+		body, err = io.ReadAll(io.LimitReader(&chunkedReader{reader: c.reader}, maxShortBody))
 		if err == nil && len(body) == maxShortBody {
 			err = fmt.Errorf("%w: a short answer without end", errMalformed)
 		}
--- a/internal/platform/move.go
+++ b/internal/platform/move.go
@@ -29,7 +29,8 @@
 	ID         ashwood.RequestID `json:"id"`
 	Class      string            `json:"class"`
 	Engine     ashwood.Server    `json:"engine"`
-	TakenAt    float64           `json:"begun"` // ms, when the request was taken
+	TakenAt    float64           `json:"begun"`  // ms, when the request was taken
+	EventWait  float64           `json:"waited"` // ms waited so far for the end of the current event
 	CloseAfter bool              `json:"closes"`
 	ReadAhead  []byte            `json:"ahead"` // bytes read ahead from the client
 	Body       bodyState         `json:"body"`
@@ -37,8 +38,9 @@
 
 // bodyState is how far the body of an engine's answer has been read.
 type bodyState struct {
-	Form     string `json:"form"` // chunks, length, close
-	Left     int    `json:"left"` // bytes of the current chunk or of the whole body
+	Form     string `json:"form"`      // chunks, length, close
+	Left     int    `json:"left"`      // bytes of the current chunk or of the whole body
+	BreakDue bool   `json:"break_due"` // the line break behind the current chunk's data has not been read
 	Keep     bool   `json:"keep"`
 	Buffered []byte `json:"buffered"`
 	Tail     []byte `json:"tail"`
@@ -62,7 +64,7 @@
 	state := bodyState{Keep: s.reusable, Tail: s.tail}
 	switch b := s.body.(type) {
 	case *chunkedReader:
-		state.Form, state.Left = "chunks", b.remaining
+		state.Form, state.Left, state.BreakDue = "chunks", b.remaining, b.lineBreakDue
 	case *fixedLengthReader:
 		state.Form, state.Left = "length", b.remaining
 	default:
@@ -88,7 +90,7 @@
 	s := &engineStream{pool: e.pool, conn: c, reusable: state.Keep, tail: state.Tail}
 	switch state.Form {
 	case "chunks":
-		s.body = &chunkedReader{reader: c.reader, startTimeout: func() func() { return e.startTimeout(c, completionTimeout) }, remaining: state.Left}
+		s.body = &chunkedReader{reader: c.reader, remaining: state.Left, lineBreakDue: state.BreakDue}
 	case "length":
 		s.body = &fixedLengthReader{reader: c.reader, remaining: state.Left}
 	case "close":
@@ -126,7 +128,7 @@
 			return b.clientCtx.Err() // the client has disconnected: there is nothing to continue
 		}
 		message, err := json.Marshal(handoverMessage{
-			ID: live.ID, Class: live.Class, Engine: live.Engine, TakenAt: live.StartedAt, CloseAfter: b.closeAfter,
+			ID: live.ID, Class: live.Class, Engine: live.Engine, TakenAt: live.StartedAt, EventWait: live.EventWait, CloseAfter: b.closeAfter,
 			ReadAhead: b.conn.readAhead, Body: live.TransportState.(bodyState),
 		})
 		if err != nil {
@@ -169,7 +171,7 @@
 	}
 	c := s.listener.adoptConn(clientSide, handedOver.ReadAhead)
 	clientCtx, cancelClient := context.WithCancel(context.Background())
-	live := gateway.HandoverState{ID: handedOver.ID, Class: handedOver.Class, Engine: handedOver.Engine, StartedAt: handedOver.TakenAt}
+	live := gateway.HandoverState{ID: handedOver.ID, Class: handedOver.Class, Engine: handedOver.Engine, StartedAt: handedOver.TakenAt, EventWait: handedOver.EventWait}
 	stream, err := adopter.Adopt(clientCtx, live, func(ctx context.Context, t gateway.Transport) (gateway.Stream, error) {
 		e, ok := t.(*Engines)
 		if !ok {
--- a/internal/platform/stream.go
+++ b/internal/platform/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -24,18 +25,30 @@
 	buf           [4096]byte
 	firstEvent    []byte // bytes up to the end of the first event, until Next returns them
 	tail          []byte // the last bytes read, for the load report
+	eventEnded    bool   // an event ended in the last piece returned
 	reusable      bool
 	done          bool
 }
 
 const tailBytes = 512
 
+// eventEnds are the bytes that end an event.
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
+
+// endsEvent reports whether an event ends in a piece; before is what came before it.
+func endsEvent(before, piece []byte) bool {
+	return slices.ContainsFunc(eventEnds, func(end []byte) bool {
+		overlap := before[max(len(before)-len(end)+1, 0):]
+		return bytes.Contains(piece, end) || bytes.Contains(slices.Concat(overlap, piece[:min(len(piece), len(end)-1)]), end)
+	})
+}
+
 func (e *Engines) newStream(ctx context.Context, c *engineConn, response *fasthttp.ResponseHeader) *engineStream {
 	stream := &engineStream{pool: e.pool, conn: c, reusable: !response.ConnectionClose()}
 	stream.stopInterrupt = c.interruptOnDone(ctx)
 	switch n := response.ContentLength(); {
 	case n == -1:
-		stream.body = &chunkedReader{reader: c.reader, startTimeout: func() func() { return e.startTimeout(c, completionTimeout) }}
+		stream.body = &chunkedReader{reader: c.reader}
 	case n >= 0:
 		stream.body = &fixedLengthReader{reader: c.reader, remaining: n}
 	default:
@@ -72,8 +85,8 @@
 			return io.ErrUnexpectedEOF // an answer without any event is no answer
 		case err != nil && !errors.Is(err, io.EOF):
 			return err
-		case err != nil || bytes.Contains(event, []byte("\n\n")) || bytes.Contains(event, []byte("\r\n\r\n")):
-			s.firstEvent = event
+		case err != nil || endsEvent(nil, event):
+			s.firstEvent, s.eventEnded = event, true
 			return nil
 		case len(event) > maxChunkSize:
 			return fmt.Errorf("%w: an event does not end", errMalformed)
@@ -93,16 +106,25 @@
 	n, err := s.body.Read(s.buf[:])
 	if n > 0 && !errors.Is(err, errMalformed) { // nothing of a malformed chunk is passed on
 		piece := s.buf[:n]
-		s.tail = append(s.tail, piece...)
-		if extra := len(s.tail) - tailBytes; extra > 0 {
-			s.tail = append(s.tail[:0], s.tail[extra:]...)
-		}
+		s.recordPiece(piece)
 		return piece, nil // the next call returns the error again
 	}
 	s.done = err == io.EOF
 	return nil, err
 }
 
+// recordPiece notes whether an event ends in the piece and keeps the end of the stream.
+func (s *engineStream) recordPiece(piece []byte) {
+	s.eventEnded = endsEvent(s.tail, piece)
+	s.tail = append(s.tail, piece...)
+	if extra := len(s.tail) - tailBytes; extra > 0 {
+		s.tail = append(s.tail[:0], s.tail[extra:]...)
+	}
+}
+
+// EventEnded reports whether an event ended in the last piece that Next returned.
+func (s *engineStream) EventEnded() bool { return s.eventEnded }
+
 // Report returns the load report at the end of the stream, or nil.
 func (s *engineStream) Report() ashwood.Report {
 	_, line, ok := strings.Cut(string(s.tail), loadReportComment)
