--- a/cmd/ashwood/fronts.go
+++ b/cmd/ashwood/fronts.go
@@ -94,6 +94,11 @@
 	}, nil
 }
 
+// grpcCallMemory returns the bytes that the calls of the gRPC front's clients may need.
+func grpcCallMemory(memoryMB float64) int64 {
+	return int64(max((memoryMB-ownMemoryMB)*grpcMemoryShare, minCallMemoryMB) * (1 << 20))
+}
+
 // openGRPC opens the gRPC front, which has an engine membership of its own.
 func openGRPC(notice *shutdownNotice, cfg config.Config, grpcConfig config.GRPC, limitConfig limits.Config, c clock.Clock, log *slog.Logger) (front, error) {
 	options := []router.Option{router.WithClock(c), router.WithLogger(log), router.WithTransport(router.GRPCEngines(grpcConfig.EngineCredentials))}
@@ -115,7 +120,7 @@
 	if err := requestRouter.Start(); err != nil {
 		return front{}, err
 	}
-	server := grpcfront.NewServer(signalCheckedRouter{requestRouter, notice}, cfg.Settings, grpcConfig.Credentials, c, log)
+	server := grpcfront.NewServer(signalCheckedRouter{requestRouter, notice}, cfg.Settings, grpcConfig.Credentials, grpcCallMemory(cfg.Limits.MemoryMB), c, log)
 	return front{
 		name: "grpc", addr: listener.Addr(), serve: func() error { return server.Serve(listener) }, drain: server.Drain, stopAccepting: server.Shutdown,
 		shutdown: func() error {
@@ -123,7 +128,11 @@
 			return requestRouter.Shutdown(context.Background())
 		},
 		reload:       func(config.Config) {}, // its engines don't come from the platform's discovery
-		writeMetrics: requestRouter.WriteMetrics, setProcesses: requestRouter.SetProcesses, disableKeepAlives: func(bool) {}, setHandover: func(platform.HandoverFunc) {},
+		writeMetrics: requestRouter.WriteMetrics, disableKeepAlives: func(bool) {}, setHandover: func(platform.HandoverFunc) {},
+		setProcesses: func(processes int) {
+			requestRouter.SetProcesses(processes)
+			server.SetProcesses(processes)
+		},
 		setLifetime: requestRouter.SetLifetime,
 	}, nil
 }
--- /dev/null
+++ b/internal/grpcfront/calls.go
@@ -0,0 +1,323 @@
+package grpcfront
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
+
+	"ashwood.example/ashwood/ashwoodpb"
+	"ashwood.example/ashwood/gateway"
+	"ashwood.example/ashwood/internal/clock"
+)
+
+const (
+	// readTimeout is the time in ms from the start of a call until its request must be complete.
+	readTimeout = 2700.0
+	// maxHeaderBytes limits the metadata of a call.
+	maxHeaderBytes = 16 << 10
+	// callOverhead is the memory in bytes that a call may need besides its message: its state and stacks, some
+	// 16 KiB, and its metadata.
+	callOverhead = 16<<10 + maxHeaderBytes
+)
+
+// callTracker limits the time and the memory of clients' calls until the gateway knows their requests: a client
+// may begin calls and never finish them. It counts the bytes received for unfinished calls by connection, since
+// the gRPC library does not tell which call they belong to. When all calls together need more than their limit,
+// the unfinished calls of the connection that needs most are evicted, and nothing more is read from clients until
+// evicted calls have given their memory back.
+//
+// Lock order: callTracker.mu is taken last.
+type callTracker struct {
+	clock    clock.Clock
+	log      *slog.Logger
+	maxBytes int64         // for all processes of this gateway
+	refusal  gateway.Reply // to calls for which there is no memory
+
+	mu        sync.Mutex
+	limit     int64                    // bytes, for this process
+	used      int64                    // by calls that are not evicted
+	evicting  int64                    // by evicted calls that have not ended
+	callEnded sync.Cond                // signalled when an evicted call has ended
+	reading   map[*clientConn]struct{} // connections with unfinished calls
+}
+
+func newCallTracker(maxBytes int64, refusal gateway.Reply, c clock.Clock, log *slog.Logger) *callTracker {
+	t := &callTracker{
+		clock: c, log: log, maxBytes: maxBytes, refusal: refusal, limit: maxBytes,
+		reading: map[*clientConn]struct{}{},
+	}
+	t.callEnded.L = &t.mu
+	return t
+}
+
+// setProcesses divides the memory among the processes of this gateway.
+func (t *callTracker) setProcesses(processes int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limit = t.maxBytes / int64(max(processes, 1))
+	t.makeRoom()
+}
+
+// clientConn is a client's connection, whose received bytes are counted while it has unfinished calls.
+type clientConn struct {
+	net.Conn
+	tracker *callTracker
+
+	// Guarded by tracker.mu:
+	unfinished map[*clientCall]struct{}
+	received   int64 // bytes for its unfinished calls
+}
+
+// connAddr is the remote address of a clientConn. The library passes it to the calls on the connection.
+type connAddr struct {
+	net.Addr
+	conn *clientConn
+}
+
+// RemoteAddr returns a connAddr.
+func (c *clientConn) RemoteAddr() net.Addr { return connAddr{c.Conn.RemoteAddr(), c} }
+
+func (c *clientConn) Read(p []byte) (int, error) {
+	c.tracker.awaitEvicted()
+	n, err := c.Conn.Read(p)
+	c.tracker.countReceived(c, int64(n))
+	return n, err
+}
+
+// trackedListener returns its connections as *clientConn.
+type trackedListener struct {
+	net.Listener
+	tracker *callTracker
+}
+
+func (l trackedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &clientConn{Conn: c, tracker: l.tracker, unfinished: map[*clientCall]struct{}{}}, nil
+}
+
+// awaitEvicted waits while evicted calls that have not ended take the memory over the limit. They end by
+// themselves, whatever their clients do.
+func (t *callTracker) awaitEvicted() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for t.evicting > 0 && t.used+t.evicting > t.limit {
+		t.callEnded.Wait()
+	}
+}
+
+func (t *callTracker) countReceived(conn *clientConn, n int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(conn.unfinished) > 0 {
+		conn.received += n
+		t.used += n
+		t.makeRoom()
+	}
+}
+
+// clientCall is a call from its headers to its end.
+type clientCall struct {
+	tracker *callTracker
+	conn    *clientConn
+	cancel  context.CancelFunc // ends a call whose message the library reads; nil if the handler reads it
+	evicted chan struct{}      // closed when the call is ended without its request
+
+	// Guarded by tracker.mu:
+	startedAt float64 // ms of the clock
+	stopTimer func() bool
+	err       error // the final status of an evicted call
+	held      int64 // bytes of memory counted for this call alone
+}
+
+type callKey struct{}
+
+// callOf returns the call of a context, or nil if it is not tracked.
+func callOf(ctx context.Context) *clientCall {
+	call, _ := ctx.Value(callKey{}).(*clientCall)
+	return call
+}
+
+// begin starts to track a call. It is called for each call when its headers have been read, and implements
+// tap.ServerInHandle. It never fails: the library does not release the context of a call that is rejected here.
+func (t *callTracker) begin(ctx context.Context, info *tap.Info) (context.Context, error) {
+	client, ok := peer.FromContext(ctx)
+	if !ok {
+		return ctx, nil
+	}
+	addr, ok := client.Addr.(connAddr)
+	if !ok {
+		return ctx, nil
+	}
+	call := &clientCall{tracker: t, conn: addr.conn, evicted: make(chan struct{}), startedAt: t.clock.Now(), held: callOverhead}
+	context.AfterFunc(ctx, call.end)
+	ctx = context.WithValue(ctx, callKey{}, call)
+	if info.FullMethodName != ashwoodpb.Inference_Generate_FullMethodName {
+		ctx, call.cancel = context.WithCancel(ctx)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	call.conn.unfinished[call] = struct{}{}
+	t.reading[call.conn] = struct{}{}
+	t.used += call.held
+	t.startReadTimer(call)
+	t.makeRoom()
+	return ctx, nil
+}
+
+// startReadTimer starts the timer that ends a call whose request does not become complete. The caller holds t.mu.
+func (t *callTracker) startReadTimer(call *clientCall) {
+	call.stopTimer = t.clock.AfterFunc(readTimeout, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.evict(call, status.Error(codes.InvalidArgument, fmt.Sprintf("the request was not complete after %.1f s; it has not run", (t.clock.Now()-call.startedAt)/1000)))
+	})
+}
+
+// makeRoom evicts unfinished calls until the memory needed is within the limit or none is left. The caller holds
+// t.mu.
+func (t *callTracker) makeRoom() {
+	for t.used > t.limit && len(t.reading) > 0 {
+		var largest *clientConn
+		for conn := range t.reading {
+			if largest == nil || conn.memory() > largest.memory() {
+				largest = conn
+			}
+		}
+		t.log.Debug("calls ended to free memory", "client", largest.Conn.RemoteAddr(), "calls", len(largest.unfinished), "bytes", largest.memory())
+		for call := range largest.unfinished {
+			t.evict(call, refusalStatus(t.refusal))
+		}
+	}
+}
+
+// memory returns the bytes counted for a connection's unfinished calls.
+func (c *clientConn) memory() int64 { return c.received + callOverhead*int64(len(c.unfinished)) }
+
+// evict ends an unfinished call with a status. Its part of the bytes received for its connection's unfinished calls
+// counts until it has ended. The caller holds t.mu.
+func (t *callTracker) evict(call *clientCall, err error) {
+	conn := call.conn
+	if _, ok := conn.unfinished[call]; !ok {
+		return
+	}
+	part := conn.received / int64(len(conn.unfinished))
+	conn.received -= part
+	t.used -= part + call.held
+	call.held += part
+	t.evicting += call.held
+	t.stopReading(call)
+	call.err = err
+	close(call.evicted)
+	if call.cancel != nil {
+		go call.cancel() // not before begin has returned
+	}
+}
+
+// stopReading takes a call from the unfinished ones, and reports whether it was one of them. The caller holds t.mu.
+func (t *callTracker) stopReading(call *clientCall) bool {
+	conn := call.conn
+	if _, ok := conn.unfinished[call]; !ok {
+		return false
+	}
+	call.stopTimer()
+	delete(conn.unfinished, call)
+	if len(conn.unfinished) == 0 {
+		t.used -= conn.received
+		conn.received = 0
+		delete(t.reading, conn)
+	}
+	return true
+}
+
+// complete records that a call's request has been received whole. An evicted call returns its status.
+func (call *clientCall) complete(messageBytes int) error {
+	t := call.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if call.err != nil {
+		return call.err
+	}
+	if !t.stopReading(call) {
+		return nil // the call has ended
+	}
+	counted := min(int64(messageBytes), call.conn.received)
+	call.conn.received -= counted
+	call.held += int64(messageBytes)
+	t.used += int64(messageBytes) - counted
+	t.makeRoom()
+	return nil
+}
+
+// end stops tracking a call.
+func (call *clientCall) end() {
+	t := call.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if call.err != nil {
+		t.evicting -= call.held
+		t.callEnded.Broadcast()
+		return
+	}
+	t.stopReading(call)
+	t.used -= call.held
+}
+
+// trackedStream is a call's stream whose first message completes the request.
+type trackedStream struct {
+	grpc.ServerStream
+	call *clientCall
+}
+
+// RecvMsg receives the request. It returns early when the call is evicted; the end of the call then unblocks
+// the library.
+func (s *trackedStream) RecvMsg(m any) error {
+	received := make(chan error, 1)
+	go func() { received <- s.ServerStream.RecvMsg(m) }()
+	select {
+	case err := <-received:
+		if err != nil {
+			return err
+		}
+		return s.call.complete(messageBytes(m))
+	case <-s.call.evicted:
+		return s.call.complete(0) // its final status
+	}
+}
+
+// messageBytes returns the length of a request as received. Those of other services than the gateway's are small
+// and not counted.
+func messageBytes(m any) int {
+	if raw, ok := m.(*rawMessage); ok {
+		return len(raw.bytes)
+	}
+	return 0
+}
+
+// interceptStream tracks the request of a streaming call.
+func interceptStream(srv any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handler grpc.StreamHandler) error {
+	if call := callOf(stream.Context()); call != nil {
+		stream = &trackedStream{stream, call}
+	}
+	return handler(srv, stream)
+}
+
+// interceptUnary tracks the request of a unary call, which the library has received.
+func interceptUnary(ctx context.Context, in any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+	if call := callOf(ctx); call != nil {
+		if err := call.complete(messageBytes(in)); err != nil {
+			return nil, err
+		}
+	}
+	return handler(ctx, in)
+}
--- a/internal/grpcfront/harness_test.go
+++ b/internal/grpcfront/harness_test.go
@@ -22,6 +22,9 @@
 	"ashwood.example/ashwood/internal/clock"
 )
 
+// testMemory is the memory in bytes for calls.
+const testMemory = 16 << 20
+
 // scriptedEngine stands in for an engine. The request's session selects what it does
 // with a request; it counts the calls that it gets.
 type scriptedEngine struct {
@@ -42,6 +45,7 @@
 	transport      *Engines      // the gateway's transport to them
 	servers        []ashwood.Server
 	front          *Server
+	addr           net.Addr      // of the front
 	continueAnswer chan struct{} // a value lets an answer continue after its first token
 }
 
@@ -202,8 +206,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go gw.Run(ctx)
-	f.front = NewServer(gw, testSettings(), insecure.NewCredentials(), c, log)
+	f.front = NewServer(gw, testSettings(), insecure.NewCredentials(), testMemory, c, log)
 	l := listen(t)
+	f.addr = l.Addr()
 	go f.front.Serve(l)
 	t.Cleanup(f.front.grpc.Stop)
 	cc, err := grpc.NewClient("passthrough:///"+l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry())
--- a/internal/grpcfront/panic_test.go
+++ b/internal/grpcfront/panic_test.go
@@ -26,7 +26,7 @@
 
 // A call whose handler panics is answered with INTERNAL, and so is the next one.
 func TestPanic_Handler(t *testing.T) {
-	front := NewServer(panickingHandler{}, testSettings(), insecure.NewCredentials(), clock.System(), slog.New(slog.DiscardHandler))
+	front := NewServer(panickingHandler{}, testSettings(), insecure.NewCredentials(), testMemory, clock.System(), slog.New(slog.DiscardHandler))
 	l := listen(t)
 	go front.Serve(l)
 	t.Cleanup(front.grpc.Stop)
--- a/internal/grpcfront/server.go
+++ b/internal/grpcfront/server.go
@@ -33,6 +33,8 @@
 const (
 	maxMessageBytes   = 256 << 10
 	maxStreamsPerConn = 256
+	streamWindowBytes = 64 << 10
+	connWindowBytes   = 1 << 20
 )
 
 // Handler serves requests, as a gateway or a router does.
@@ -51,23 +53,37 @@
 	deadlines map[string]float64 // in ms, by class
 	grpc      *grpc.Server
 	health    *health.Server
+	calls     *callTracker
 	hosted    bool // registered on a host's server, with the host's codec
 }
 
-// NewServer returns a server that passes requests to handler.
-func NewServer(handler Handler, settings ashwood.Settings, creds credentials.TransportCredentials, c clock.Clock, log *slog.Logger) *Server {
-	s := &Server{handler: handler, clock: c, log: log, deadlines: classDeadlines(settings), health: health.NewServer()}
-	s.grpc = grpc.NewServer(grpc.Creds(creds), grpc.ForceServerCodecV2(newPassthroughCodec()), grpc.MaxRecvMsgSize(maxMessageBytes),
-		grpc.MaxConcurrentStreams(maxStreamsPerConn),
+// NewServer returns a server that passes requests to handler. Its clients' calls need at most maxBytes of memory,
+// for all processes of this gateway.
+func NewServer(handler Handler, settings ashwood.Settings, creds credentials.TransportCredentials, maxBytes int64, c clock.Clock, log *slog.Logger) *Server {
+	refusal := gateway.Reply{Kind: gateway.Refused, RetryAfter: clock.Millis(settings.Limits.MaxRetryAfter)}
+	calls := newCallTracker(maxBytes, refusal, c, log)
+	s := &Server{handler: handler, clock: c, log: log, deadlines: classDeadlines(settings), health: health.NewServer(), calls: calls}
+	s.grpc = grpc.NewServer(append(sizeOptions(), grpc.Creds(creds), grpc.ForceServerCodecV2(newPassthroughCodec()),
+		grpc.InTapHandle(calls.begin), grpc.StreamInterceptor(interceptStream), grpc.UnaryInterceptor(interceptUnary),
+		grpc.ConnectionTimeout(clock.Duration(readTimeout)),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 5 * time.Minute, Time: time.Minute, Timeout: 5 * time.Second}),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}))
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}))...)
 	s.register(s.grpc)
 	grpc_health_v1.RegisterHealthServer(s.grpc, s.health)
 	return s
 }
 
+// sizeOptions limits what a client may send. The windows are static: dynamic ones grow with the traffic, and a
+// call's window is what it may send before its handler reads.
+func sizeOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxHeaderListSize(maxHeaderBytes), grpc.MaxConcurrentStreams(maxStreamsPerConn),
+		grpc.StaticStreamWindowSize(streamWindowBytes), grpc.StaticConnWindowSize(connWindowBytes),
+	}
+}
+
 // Register adds the Inference service to a host's own gRPC server and passes its requests
-// to handler. Codec, credentials and limits are the host's.
+// to handler. Codec, credentials and limits, also on unfinished calls, are the host's.
 func Register(host grpc.ServiceRegistrar, handler Handler, settings ashwood.Settings, c clock.Clock, log *slog.Logger) {
 	s := &Server{handler: handler, clock: c, log: log, deadlines: classDeadlines(settings), hosted: true}
 	s.register(host)
@@ -103,7 +119,10 @@
 }
 
 // Serve serves calls on a listener until Shutdown.
-func (s *Server) Serve(l net.Listener) error { return s.grpc.Serve(l) }
+func (s *Server) Serve(l net.Listener) error { return s.grpc.Serve(trackedListener{l, s.calls}) }
+
+// SetProcesses sets the number of processes among which the memory for calls is divided.
+func (s *Server) SetProcesses(processes int) { s.calls.setProcesses(processes) }
 
 // Drain makes the health service report that the server is not serving, so that clients go elsewhere.
 func (s *Server) Drain() { s.health.Shutdown() }
