End gRPC calls without a request when the process has to give its last answers

Cause: the graceful stop of the gRPC library waits for all open calls, and a call without a request had no end of its own.

Change: unfinished calls end, like the HTTP front's partial requests, when the process's time for its last answers is over, those that begin later at once.

--- a/cmd/ashwood/fronts.go
+++ b/cmd/ashwood/fronts.go
@@ -133,6 +133,9 @@
 			requestRouter.SetProcesses(processes)
 			server.SetProcesses(processes)
 		},
-		setLifetime: requestRouter.SetLifetime,
+		setLifetime: func(lifetime lifecycle.Lifetime) {
+			requestRouter.SetLifetime(lifetime)
+			server.ExpireReadsAfter(clock.Duration(lifetime.AnswerBy - c.Now()))
+		},
 	}, nil
 }
--- a/cmd/ashwood/grpc_ending_test.go
+++ b/cmd/ashwood/grpc_ending_test.go
@@ -75,3 +75,19 @@
 		t.Errorf("sent to engines: %v", engine.attempts)
 	}
 }
+
+// Guards against a process that one call without a request keeps alive to its kill.
+func TestShutdown_GRPCUnfinishedCall(t *testing.T) {
+	cmd, conn := startGRPCFront(t, &hangingEngine{}, "", insecure.NewCredentials())
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	_, err := conn.NewStream(ctx, &grpc.StreamDesc{ServerStreams: true}, ashwoodpb.Inference_Generate_FullMethodName, grpc.WaitForReady(true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	defer time.AfterFunc(killAfter, func() { cmd.Process.Kill() }).Stop()
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("it did not end by itself: %v", err)
+	}
+}
--- a/internal/grpcfront/calls.go
+++ b/internal/grpcfront/calls.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"sync"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -47,12 +49,13 @@
 	evicting  int64                    // by evicted calls that have not ended
 	callEnded sync.Cond                // signalled when an evicted call has ended
 	reading   map[*clientConn]struct{} // connections with unfinished calls
+	readUntil float64                  // ms of the clock, after which no request is read
 }
 
 func newCallTracker(maxBytes int64, refusal gateway.Reply, c clock.Clock, log *slog.Logger) *callTracker {
 	t := &callTracker{
 		clock: c, log: log, maxBytes: maxBytes, refusal: refusal, limit: maxBytes,
-		reading: map[*clientConn]struct{}{},
+		reading: map[*clientConn]struct{}{}, readUntil: math.Inf(1),
 	}
 	t.callEnded.L = &t.mu
 	return t
@@ -66,6 +69,19 @@
 	t.makeRoom()
 }
 
+// expireReadsAfter ends calls whose request is not complete after d, also those that begin later.
+func (t *callTracker) expireReadsAfter(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.readUntil = min(t.readUntil, t.clock.Now()+clock.Millis(d))
+	for conn := range t.reading {
+		for call := range conn.unfinished {
+			call.stopTimer()
+			t.startReadTimer(call)
+		}
+	}
+}
+
 // clientConn is a client's connection, whose received bytes are counted while it has unfinished calls.
 type clientConn struct {
 	net.Conn
@@ -177,7 +193,8 @@
 
 // startReadTimer starts the timer that ends a call whose request does not become complete. The caller holds t.mu.
 func (t *callTracker) startReadTimer(call *clientCall) {
-	call.stopTimer = t.clock.AfterFunc(readTimeout, func() {
+	deadline := min(call.startedAt+readTimeout, t.readUntil)
+	call.stopTimer = t.clock.AfterFunc(deadline-t.clock.Now(), func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.evict(call, status.Error(codes.InvalidArgument, fmt.Sprintf("the request was not complete after %.1f s; it has not run", (t.clock.Now()-call.startedAt)/1000)))
--- a/internal/grpcfront/calls_test.go
+++ b/internal/grpcfront/calls_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/health/grpc_health_v1"
 
 	"ashwood.example/ashwood/ashwoodpb"
+	"ashwood.example/ashwood/internal/clock"
 )
 
 // badClientLimit is the time within which a client that stops in the middle of a request is owed an error or a close
@@ -27,6 +28,7 @@
 	headers bytes.Buffer
 	encoder *hpack.Encoder
 	calls   uint32
+	granted chan uint32 // gets a call when the server, which reads its message, grants it a larger window
 
 	mu     sync.Mutex // also guards writes
 	ended  map[uint32]string
@@ -40,7 +42,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { nc.Close() })
-	c := &rawClient{t: t, framer: http2.NewFramer(nc, nc), ended: map[uint32]string{}, change: make(chan struct{}, 9999)}
+	c := &rawClient{t: t, framer: http2.NewFramer(nc, nc), granted: make(chan uint32, 9999), ended: map[uint32]string{}, change: make(chan struct{}, 9999)}
 	c.encoder = hpack.NewEncoder(&c.headers)
 	c.framer.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
 	io.WriteString(nc, http2.ClientPreface)
@@ -66,6 +68,10 @@
 			if !f.IsAck() {
 				c.framer.WritePing(true, f.Data)
 			}
+		case *http2.WindowUpdateFrame:
+			if f.StreamID > 0 {
+				c.granted <- f.StreamID
+			}
 		case *http2.MetaHeadersFrame:
 			if f.StreamEnded() {
 				for _, field := range f.Fields {
@@ -183,3 +189,28 @@
 		t.Errorf("a connection that has sent nothing: %v", err)
 	}
 }
+
+// Guards against a process that is kept alive, once it is told to end, by one call that is never finished.
+func TestUnfinishedCalls_Shutdown(t *testing.T) {
+	const answerBy = 300 * time.Millisecond // the process's time for its last answers
+	_, fleet, _ := startGateway(t)
+	c := dialRaw(t, fleet.addr)
+	c.begin(ashwoodpb.Inference_Generate_FullMethodName, unfinishedMessage(100))
+	<-c.granted
+	toldAt := time.Now()
+	fleet.front.ExpireReadsAfter(answerBy)
+	ended := make(chan struct{})
+	go func() {
+		fleet.front.Shutdown()
+		close(ended)
+	}()
+	select {
+	case <-c.change:
+	case <-time.After(clock.Duration(readTimeout) / 2):
+		t.Fatalf("%v after the front was told to end within %v, the call has not ended", time.Since(toldAt), answerBy)
+	}
+	if got := c.countEnded(); got["3"] != 1 { // INVALID_ARGUMENT
+		t.Errorf("calls ended, by status: %v", got)
+	}
+	<-ended
+}
--- a/internal/grpcfront/server.go
+++ b/internal/grpcfront/server.go
@@ -124,6 +124,9 @@
 // SetProcesses sets the number of processes among which the memory for calls is divided.
 func (s *Server) SetProcesses(processes int) { s.calls.setProcesses(processes) }
 
+// ExpireReadsAfter ends calls whose request is not complete after d, also those that begin later.
+func (s *Server) ExpireReadsAfter(d time.Duration) { s.calls.expireReadsAfter(d) }
+
 // Drain makes the health service report that the server is not serving, so that clients go elsewhere.
 func (s *Server) Drain() { s.health.Shutdown() }
 
