Give the watch for stalled answers a type and a file of its own

It was one function of closures in the middle of the stream; its steps have names now and its state is a struct with its lock. Behaviour as before.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync"
 
 	"ashwood.example/ashwood"
 )
@@ -32,9 +31,9 @@
 // cancelled and counts as broken.
 func (s *stream) Next() ([]byte, error) {
 	calledAt := s.gateway.clock.Now()
-	stop := s.watchStall(calledAt)
+	watch := s.watchStall(calledAt)
 	piece, err := s.Stream.Next()
-	stop()
+	watch.stop()
 	s.eventWait += s.gateway.clock.Now() - calledAt
 	switch {
 	case err == nil:
@@ -59,45 +58,6 @@
 	return !ok || events.EventEnded()
 }
 
-// watchStall cancels the answer if it has been silent since the time since and has stopped. The decision module may know that
-// from other answers or from a probe. Without any evidence, the answer is cancelled once its next event has been awaited for
-// stallTimeout, within the time that its client may wait: an engine may fall silent within an event as well as between two. A hanging
-// answer is not distinguished from a stopped one then: of some 3,000 answers that were silent for over a second in
-// eight series of runs in tight situations, none continued.
-func (s *stream) watchStall(since float64) (stop func()) {
-	var mu sync.Mutex
-	var cancel func() bool
-	var check func()
-	over, oneEvent, timeout := false, s.eventCount == 1, stallTimeout-s.eventWait
-	s.progress.advance(since) // the previous piece has just been passed on
-	schedule := func(ms float64) {
-		mu.Lock()
-		defer mu.Unlock()
-		if !over {
-			cancel = s.gateway.clock.AfterFunc(ms, check)
-		}
-	}
-	check = func() {
-		stalled, shouldProbe := s.gateway.router.AnswerStalled(s.id, s.attempt, s.engine.ID, since, s.progress.at(), oneEvent)
-		remaining := timeout - (s.gateway.clock.Now() - since)
-		if stalled || remaining <= 0 {
-			s.cancel(ErrStalled)
-			return
-		}
-		schedule(min(stallCheckInterval, remaining)) // before the probe, so that whoever sees the probe can rely on the next check
-		if shouldProbe {
-			s.gateway.runInBackground(func() { s.gateway.probe(s.engine) })
-		}
-	}
-	schedule(min(stallSuspectAfter, timeout))
-	return func() {
-		mu.Lock()
-		defer mu.Unlock()
-		over = true
-		cancel()
-	}
-}
-
 // HandOver hands the answer over to another process. In this process, it ends as cancelled,
 // which says nothing about its engine.
 func (s *stream) HandOver(give func(HandoverState) error) error {
