--- a/internal/grpcfront/calls.go
+++ b/internal/grpcfront/calls.go
@@ -5,11 +5,9 @@
 	"fmt"
 	"log/slog"
 	"math"
-	"net"
 	"sync"
 	"time"
 
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
@@ -82,46 +80,6 @@
 	}
 }
 
-// clientConn is a client's connection, whose received bytes are counted while it has unfinished calls.
-type clientConn struct {
-	net.Conn
-	tracker *callTracker
-
-	// Guarded by tracker.mu:
-	unfinished map[*clientCall]struct{}
-	received   int64 // bytes for its unfinished calls
-}
-
-// connAddr is the remote address of a clientConn. The library passes it to the calls on the connection.
-type connAddr struct {
-	net.Addr
-	conn *clientConn
-}
-
-// RemoteAddr returns a connAddr.
-func (c *clientConn) RemoteAddr() net.Addr { return connAddr{c.Conn.RemoteAddr(), c} }
-
-func (c *clientConn) Read(p []byte) (int, error) {
-	c.tracker.awaitEvicted()
-	n, err := c.Conn.Read(p)
-	c.tracker.countReceived(c, int64(n))
-	return n, err
-}
-
-// trackedListener returns its connections as *clientConn.
-type trackedListener struct {
-	net.Listener
-	tracker *callTracker
-}
-
-func (l trackedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &clientConn{Conn: c, tracker: l.tracker, unfinished: map[*clientCall]struct{}{}}, nil
-}
-
 // awaitEvicted waits while evicted calls that have not ended take the memory over the limit. They end by
 // themselves, whatever their clients do.
 func (t *callTracker) awaitEvicted() {
@@ -218,9 +176,6 @@
 	}
 }
 
-// memory returns the bytes counted for a connection's unfinished calls.
-func (c *clientConn) memory() int64 { return c.received + callOverhead*int64(len(c.unfinished)) }
-
 // evict ends an unfinished call with a status. Its part of the bytes received for its connection's unfinished calls
 // counts until it has ended. The caller holds t.mu.
 func (t *callTracker) evict(call *clientCall, err error) {
@@ -289,52 +244,3 @@
 	t.stopReading(call)
 	t.used -= call.held
 }
-
-// trackedStream is a call's stream whose first message completes the request.
-type trackedStream struct {
-	grpc.ServerStream
-	call *clientCall
-}
-
-// RecvMsg receives the request. It returns early when the call is evicted; the end of the call then unblocks
-// the library.
-func (s *trackedStream) RecvMsg(m any) error {
-	received := make(chan error, 1)
-	go func() { received <- s.ServerStream.RecvMsg(m) }()
-	select {
-	case err := <-received:
-		if err != nil {
-			return err
-		}
-		return s.call.complete(messageBytes(m))
-	case <-s.call.evicted:
-		return s.call.complete(0) // its final status
-	}
-}
-
-// messageBytes returns the length of a request as received. Those of other services than the gateway's are small
-// and not counted.
-func messageBytes(m any) int {
-	if raw, ok := m.(*rawMessage); ok {
-		return len(raw.bytes)
-	}
-	return 0
-}
-
-// interceptStream tracks the request of a streaming call.
-func interceptStream(srv any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handler grpc.StreamHandler) error {
-	if call := callOf(stream.Context()); call != nil {
-		stream = &trackedStream{stream, call}
-	}
-	return handler(srv, stream)
-}
-
-// interceptUnary tracks the request of a unary call, which the library has received.
-func interceptUnary(ctx context.Context, in any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
-	if call := callOf(ctx); call != nil {
-		if err := call.complete(messageBytes(in)); err != nil {
-			return nil, err
-		}
-	}
-	return handler(ctx, in)
-}
