Gather the pieces of an event before they are passed on

Cause: each piece cost a write to the client and a timer, where one event had cost one.

Change: Next reads up to the end of an event, or until its buffer is full; whole events are still not held back by an unfinished chunk, and what came behind one goes along. TestStream_SmallPieces is red before: 75 pieces for 5 events that are written byte by byte; TestStream_SilenceAtAnyByte and TestStream_EndlessEvent hold as before.

--- a/internal/platform/silence_test.go
+++ b/internal/platform/silence_test.go
@@ -125,3 +125,23 @@
 		})
 	}
 }
+
+// Guards against a write to the client for every piece of an event: engines may write pieces of any size.
+func TestStream_SmallPieces(t *testing.T) {
+	const events = 5
+	synctest.Test(t, func(t *testing.T) {
+		engine, answer := openStream(t, bodyState{Form: "chunks"})
+		go func() {
+			for _, b := range []byte(strings.Repeat(encodeChunk(firstEvent), events) + "0\r\n\r\n") {
+				engine.Write([]byte{b})
+			}
+		}()
+		var pieces []string
+		if err := passOn(answer, func(piece string) { pieces = append(pieces, piece) }); !errors.Is(err, io.EOF) {
+			t.Error(err)
+		}
+		if len(pieces) != events || strings.Join(pieces, "") != strings.Repeat(firstEvent, events) {
+			t.Errorf("%d pieces for %d events: %q", len(pieces), events, pieces)
+		}
+	})
+}
--- a/internal/platform/stream.go
+++ b/internal/platform/stream.go
@@ -25,7 +25,7 @@
 	buf           [4096]byte
 	firstEvent    []byte // bytes up to the end of the first event, until Next returns them
 	tail          []byte // the last bytes read, for the load report
-	eventEnded    bool   // an event ended in the last piece returned
+	eventEnded    bool   // an event ended in the last piece read
 	reusable      bool
 	done          bool
 }
@@ -103,17 +103,35 @@
 	if s.done {
 		return nil, io.EOF
 	}
-	n, err := s.body.Read(s.buf[:])
-	if n > 0 && !errors.Is(err, errMalformed) { // nothing of a malformed chunk is passed on
-		piece := s.buf[:n]
-		s.recordPiece(piece)
+	piece, err := s.readEvent()
+	if len(piece) > 0 {
 		return piece, nil // the next call returns the error again
 	}
 	s.done = err == io.EOF
 	return nil, err
 }
 
-// recordPiece notes whether an event ends in the piece and keeps the end of the stream.
+// readEvent reads up to the end of an event, and with it what has arrived behind. A long event comes in several
+// pieces, as the buffer has room. Engines may write in pieces of any size, each of which would cost a write to
+// the client otherwise.
+func (s *engineStream) readEvent() (piece []byte, err error) {
+	n := 0
+	for n < len(s.buf) {
+		var more int
+		more, err = s.body.Read(s.buf[n:])
+		if errors.Is(err, errMalformed) {
+			return nil, err // nothing of an event with a malformed chunk is passed on
+		}
+		s.recordPiece(s.buf[n : n+more])
+		n += more
+		if err != nil || s.eventEnded {
+			break
+		}
+	}
+	return s.buf[:n], err
+}
+
+// recordPiece notes whether an event ends in a piece and keeps the end of the stream.
 func (s *engineStream) recordPiece(piece []byte) {
 	s.eventEnded = endsEvent(s.tail, piece)
 	s.tail = append(s.tail, piece...)
