Keep an answer that is silent for up to 4.25 s at an engine that works on others

The rule is the same: a stream whose events are still coming is not cut off, and a client may be left waiting for 5 s.

Cause: from 3.5 s of silence on an answer is ended where the engine is seen to work on others and nothing is queued there. That is a sign of a stopped answer in a fleet where engines stop, and none where they pause in one answer.

Change: the evidence is looked at from 4.25 s on; without it the limit of 4.5 s stays. A stopped answer is still ended within the 5 s, with the 0.15 s for which a gateway may be held up and the slack between checks.

TestStream_ResumesBesideOtherAnswers is red before ("the answer has stalled" after 4 s).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,7 +24,7 @@
 const (
 	reserveTimeout     = 400  // for the answers to all reservation calls of an attempt
 	probeTimeout       = 800  // the decision module waits as long for a probe, since a busy engine answers late
-	stallSuspectAfter  = 3500 // silence after which a begun answer is checked for a stall
+	stallSuspectAfter  = 4250 // silence after which a begun answer is checked for a stall: an engine that works on others may go on with it
 	stallCheckInterval = 250  // between two such checks
 	stallTimeout       = 4500 // for the end of the next event in any case: a client may wait for at most 5 s (PROTOCOL, Figures)
 )
--- a/gateway/peer_test.go
+++ b/gateway/peer_test.go
@@ -73,7 +73,10 @@
 		a.OnSent()
 	}
 	if len(list) > 0 {
-		if s, ok := list[0].Stream.(*hangingStream); ok {
+		switch s := list[0].Stream.(type) {
+		case *hangingStream:
+			s.ctx = ctx
+		case *resumingStream:
 			s.ctx = ctx
 		}
 		return list[0]
--- a/gateway/stall_test.go
+++ b/gateway/stall_test.go
@@ -92,6 +92,61 @@
 	return []byte("x"), nil
 }
 
+// resumingStream is a stream whose context ends it while it waits for the next step.
+type resumingStream struct {
+	steppedStream
+	ctx context.Context
+}
+
+func (s *resumingStream) Next() ([]byte, error) {
+	select {
+	case <-s.step:
+		return []byte("x"), nil
+	case <-s.ctx.Done():
+		return nil, context.Cause(s.ctx)
+	}
+}
+
+// Guards against an answer that is cut off at an engine which falls silent on it alone, for less time than the 5 s that
+// its client may wait, and then goes on: that other answers make progress and nothing is queued does not show a stall.
+func TestStream_ResumesBesideOtherAnswers(t *testing.T) {
+	const silence = 4 * time.Second
+	resuming, going := &resumingStream{}, &steppedStream{}
+	fake := &fakeTransport{gatewayCount: 2, reserveResult: ReserveRefused, loadReport: ashwood.Report{ashwood.ReportQueue: 0}, results: map[ashwood.ServerID][]AttemptResult{
+		"r1": {resultOf(ashwood.StatusPrefilled), resultOf(ashwood.StatusPrefilled)},
+		"w1": {{Result: ashwood.Result{Status: ashwood.StatusServed}, Stream: resuming}, {Result: ashwood.Result{Status: ashwood.StatusServed}, Stream: going}}}}
+	synctest.Test(t, func(t *testing.T) {
+		resuming.step, going.step, fake.probed = make(chan struct{}, 1), make(chan struct{}, 1), make(chan string, 99)
+		g := startGateway(t, fake, SystemClock())
+		answer := serve(t, g, t.Context(), "chat")
+		time.Sleep(time.Millisecond) // of the bubble's clock, as below
+		laterRequest := request("chat")
+		laterRequest.ID = "later"
+		later, err := g.Serve(t.Context(), laterRequest)
+		if err != nil || later.Kind != Served {
+			t.Fatal(later, err)
+		}
+		defer later.Stream.Close()
+		pieces := make(chan error, 1)
+		go func() {
+			_, err := answer.Stream.Next()
+			pieces <- err
+		}()
+		for begun := time.Now(); time.Since(begun) < silence; time.Sleep(stallCheckInterval * time.Millisecond) {
+			going.step <- struct{}{}
+			if _, err := later.Stream.Next(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		resuming.step <- struct{}{}
+		if err := <-pieces; err != nil {
+			t.Errorf("after a silence of %v: %v", silence, err)
+		}
+		answer.Stream.Close()
+		g.Wait()
+	})
+}
+
 // An answer that stops in the middle, at an engine that begins no other answer, is cancelled within the 5 s that a
 // client may wait: earlier if another answer of that engine makes progress and the engine reports an empty queue. An
 // answer that was put back into the queue is given the full timeout, and so is one
