Review case 10: a draining box gets new gRPC calls seconds after the gateway was told

Cause: the question whether a box still takes work is asked before the wait for a free stream on its one connection, and not again behind it. Change: the case; a case that is told to end, or runs for 115 s, ends its gateway too. Nothing is mended.

--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"syscall"
 	"time"
@@ -112,6 +113,7 @@
 		log.Close()
 		close(g.exited)
 	}()
+	go g.endEarly()
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for range 200 {
 		if response, err := client.Get("http://" + g.Listen + "/-/ready"); err == nil {
@@ -126,6 +128,26 @@
 	return nil, errors.New("the gateway was not ready within 10 s")
 }
 
+// longest is how long a case may run.
+const longest = 115 * time.Second
+
+// endEarly ends the case, and the gateway with it, if the case is told to end or takes too long.
+func (g *Gateway) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	select {
+	case <-g.exited:
+		return
+	case <-signals:
+	case <-time.After(longest):
+	}
+	g.Kill()
+	<-g.exited
+	os.RemoveAll(g.dir)
+	fmt.Println("the case was ended early")
+	os.Exit(ExitNotRun)
+}
+
 // PID returns the gateway's process id.
 func (g *Gateway) PID() int { return g.command.Process.Pid }
 
