--- a/internal/platform/ahead.go
+++ b/internal/platform/ahead.go
@@ -1,26 +1,35 @@
 package platform
 
 import (
+	"cmp"
+	"errors"
 	"fmt"
+	"io"
 	"net"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // This file reads what clients send while one of their requests runs: that is how a disconnect is
-// detected even behind pipelined requests. The bytes go to the next Read.
+// detected even behind pipelined requests. The bytes go to the next Read. When no more may be read, the
+// socket is asked for the disconnect instead.
 
-// Bounds of reading ahead. Once they are reached, a disconnect is noticed only by a failing write.
+// Bounds of reading ahead.
 const (
-	maxReadAhead         = 16 << 10                      // bytes that any connection may hold; a handover message has room for as many
-	maxReadAheadExtended = maxReadAhead + maxRequestBody // while the listener's memory allows: a whole request of the largest size
+	maxReadAhead         = 16 << 10 // bytes that any connection may hold; a handover message has room for as many
+	maxReadAheadExtended = 1 << 20  // while the listener's memory allows: a few requests of the largest size
+	// disconnectCheckPause bounds what it costs to check a connection on which bytes keep arriving.
+	disconnectCheckPause = 5 * time.Millisecond
 )
 
 // watchDisconnect calls onDisconnect once if the client closes its side before stopWatch. Pipelined
-// requests do not hide the close.
+// requests do not hide the close, unless they are more than maxReadAheadExtended and the kernel's receive buffer hold.
 func (c *clientConn) watchDisconnect(onDisconnect func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.writeClosed || !c.canReadAhead() {
+	if c.writeClosed {
 		return
 	}
 	c.Conn.SetReadDeadline(time.Time{})
@@ -28,25 +37,78 @@
 	c.watchDone = done
 	go func() {
 		defer close(done)
-		var buffer [512]byte
-		for {
-			n, err := c.readNetwork(buffer[:])
-			c.mu.Lock()
-			c.readAhead = append(c.readAhead, buffer[:n]...)
-			full := !c.canReadAhead()
-			netErr, ok := err.(net.Error)
-			timeout := ok && netErr.Timeout() // set by stopWatch
-			c.mu.Unlock()
-			if err != nil && !timeout {
-				onDisconnect()
-			}
-			if err != nil || full {
-				return
-			}
+		err := c.fillReadAhead()
+		if err == nil {
+			err = c.awaitDisconnect()
+		}
+		netErr, ok := err.(net.Error)
+		stopped := ok && netErr.Timeout() // by stopWatch
+		if !stopped && !errors.Is(err, errors.ErrUnsupported) {
+			onDisconnect()
 		}
 	}()
 }
 
+// fillReadAhead reads until no more may be read ahead, or reading fails.
+func (c *clientConn) fillReadAhead() error {
+	var buffer [512]byte
+	for {
+		c.mu.Lock()
+		mayRead := c.canReadAhead()
+		c.mu.Unlock()
+		if !mayRead {
+			return nil
+		}
+		n, err := c.readNetwork(buffer[:])
+		c.mu.Lock()
+		c.readAhead = append(c.readAhead, buffer[:n]...)
+		c.countReadAhead()
+		c.mu.Unlock()
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// awaitDisconnect waits until the client has closed its side or reset the connection, without reading what it
+// has sent before. It always returns an error: io.EOF then, or the one that ended the wait.
+func (c *clientConn) awaitDisconnect() error {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	_, err = c.waitNetwork(func() (int, error) {
+		// Read calls the function again whenever more has arrived.
+		return 0, cmp.Or(raw.Read(func(fd uintptr) bool {
+			if isDisconnected(int(fd)) {
+				return true
+			}
+			time.Sleep(disconnectCheckPause)
+			return false
+		}), io.EOF)
+	})
+	return err
+}
+
+// isDisconnected reports whether the peer of a socket has closed its side or reset the connection.
+func isDisconnected(fd int) bool {
+	const events = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	for {
+		switch _, err := unix.Poll(poll, 0); {
+		case errors.Is(err, unix.EINTR):
+			continue
+		case err != nil:
+			return false
+		}
+		return poll[0].Revents&events != 0
+	}
+}
+
 // stopWatch ends the watch, so that the connection can be read again.
 func (c *clientConn) stopWatch() {
 	c.mu.Lock()
--- a/internal/platform/closing.go
+++ b/internal/platform/closing.go
@@ -122,6 +122,12 @@
 
 // readNetwork reads from the network, and returns nothing any more once the connection is closing.
 func (c *clientConn) readNetwork(p []byte) (int, error) {
+	return c.waitNetwork(func() (int, error) { return c.Conn.Read(p) })
+}
+
+// waitNetwork calls read, which waits for the client until the read deadline, and returns its result. A close of
+// the connection interrupts it, and then nothing is returned any more.
+func (c *clientConn) waitNetwork(read func() (int, error)) (int, error) {
 	c.mu.Lock()
 	if c.writeClosed && !c.aborted { // on an aborted connection the read itself fails
 		c.mu.Unlock()
@@ -129,12 +135,12 @@
 	}
 	c.readInProgress = true
 	c.mu.Unlock()
-	n, err := c.Conn.Read(p)
+	n, err := read()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for n == 0 && c.cancelPendingClose() {
 		c.mu.Unlock()
-		n, err = c.Conn.Read(p)
+		n, err = read()
 		c.mu.Lock()
 	}
 	c.readInProgress = false
--- a/internal/platform/request_memory.go
+++ b/internal/platform/request_memory.go
@@ -40,7 +40,7 @@
 
 const (
 	// readAheadDivisor bounds the bytes that connections may read ahead beyond maxReadAhead: to the limit divided by it.
-	readAheadDivisor = 8
+	readAheadDivisor = 2
 	// unlimitedReadAhead is that bound in bytes for a listener without a limit.
 	unlimitedReadAhead = 4 << 20
 )
