--- a/internal/grpcfront/call.go
+++ b/internal/grpcfront/call.go
@@ -31,8 +31,8 @@
 	return nil
 }
 
-// wrapError wraps an error for clients. An engine's own error keeps its status code; that
-// of a broken connection has none, since UNAVAILABLE would make clients retry.
+// wrapError wraps an error for clients. An engine's own error keeps its status; that of a broken connection has
+// none, since the library and not the engine has worded it.
 func (c *engineCall) wrapError(engine ashwood.ServerID, err error) error {
 	if c.trailerSeen.Load() {
 		return fmt.Errorf("grpcfront: %s: %w", engine, err)
--- a/internal/grpcfront/harness_test.go
+++ b/internal/grpcfront/harness_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -41,6 +42,7 @@
 	canceled       chan string         // requests whose stream the gateway has ended
 	unanswered     chan string         // requests that an engine keeps without an answer
 	lastWrite      *ashwoodpb.GenerateRequest
+	errorCode      codes.Code    // by which the scripts "error code" end an answer
 	releases       chan struct{} // gets a value at each release
 	transport      *Engines      // the gateway's transport to them
 	servers        []ashwood.Server
@@ -85,8 +87,11 @@
 	nth := e.recordCall(in.RequestId, "write")
 	e.mu.Lock()
 	e.lastWrite = in
+	errorCode := e.errorCode
 	e.mu.Unlock()
 	switch in.Session {
+	case "error code":
+		return engineError(errorCode)
 	case "decode error":
 		return status.Error(codes.Internal, "decode engine failed")
 	case "turned away once":
@@ -114,6 +119,8 @@
 		switch {
 		case in.Session == "error after first":
 			return status.Error(codes.DataLoss, "failed during the answer")
+		case in.Session == "error code after first":
+			return engineError(errorCode)
 		case in.Session == "removed" && i == 0:
 			e.transport.RetainOnly(nil)
 		case in.Session == "halved" && i == 0:
@@ -260,6 +267,25 @@
 	return got, f.calls[id]
 }
 
+// countCalls counts the calls of a method for a request.
+func (f *scriptedFleet) countCalls(id, method string) (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, call := range f.calls[id] {
+		if strings.HasSuffix(call, " "+method) {
+			n++
+		}
+	}
+	return n
+}
+
+// setErrorCode sets the code by which the scripts "error code" end answers.
+func (f *scriptedFleet) setErrorCode(code codes.Code) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.errorCode = code
+}
+
 // waitReleased waits until no engine holds anything.
 func (f *scriptedFleet) waitReleased(t *testing.T) {
 	t.Helper()
--- a/internal/grpcfront/server.go
+++ b/internal/grpcfront/server.go
@@ -203,10 +203,10 @@
 	return st.Err()
 }
 
-// failureStatus keeps an engine's status code. A lost connection becomes UNKNOWN: the
-// request may have run, and clients retry UNAVAILABLE by themselves.
+// failureStatus returns the status of a request that may have run. Its code must be none that a client repeats a
+// call after, and none by which this front says that a request has not run. An engine may end a call that has run
+// with any code and details, so only the code of a plain failure is kept.
 func failureStatus(err error) error {
-	st, ok := status.FromError(err)
 	switch {
 	case errors.Is(err, gateway.ErrFirstTokenTimeout):
 		return status.Error(codes.DeadlineExceeded, err.Error())
@@ -214,10 +214,12 @@
 		return status.Error(codes.Canceled, err.Error())
 	case err == nil:
 		return status.Error(codes.Unknown, "failed: it may have run")
-	case ok && st.Code() != codes.OK:
-		return st.Err()
 	}
-	return status.Error(codes.Unknown, "failed: it may have run: "+err.Error())
+	code := status.Code(err)
+	if code != codes.Internal && code != codes.DataLoss {
+		code = codes.Unknown
+	}
+	return status.Error(code, "failed: it may have run: "+err.Error())
 }
 
 // parseRequest decodes the fields that decisions need.
