Release a reservation in time beside a prefill whose connection is dead

Cause: at the deadline of a reservation, anything that the prefill engine had sent since counted as a sign that the prefill had arrived. It shows that the engine runs, not that this connection works. So nothing was released where the reservation call had no answer within 400 ms (a 204 alone takes 300), where it was answered for a prefill that was given up meanwhile, and where it came back after that (then it had no deadline at all).

Change: where no answer to a reservation call shows that the prefill in flight is known, the engine with the reservation is sent a release at the deadline, whatever the prefill engine sends. It is the only one, since a release anywhere drops the state of a running prefill. A late answer has the deadline of its own call. Each release then follows from what was answered for this prefill, so a dead connection can't put it off.

--- a/gateway/arrival.go
+++ b/gateway/arrival.go
@@ -30,6 +30,7 @@
 	attempt := &inFlightAttempt{engine: engine, prefill: prefill, writtenAt: now}
 	h.mu.Lock()
 	h.inFlight, h.prefillMissing, h.prefillKnown = attempt, false, false
+	h.unproven, h.reserved = append(h.unproven, h.reserved...), nil // they told of an earlier prefill
 	if arrivesBy := now + arrivalTimeout; arrivesBy > h.timerAt {
 		h.armTimer(h.deadline, min(arrivesBy, h.deadline+arrivalTimeout))
 	}
@@ -109,8 +110,11 @@
 	if limit <= 0 {
 		return
 	}
-	deadline := h.releaser.gateway.clock.Now() + limit
-	if !answered {
+	now := h.releaser.gateway.clock.Now()
+	deadline := now + limit
+	if answered {
+		h.answeredAt = now
+	} else {
 		deadline = min(deadline, h.deadline)
 	}
 	h.armTimer(deadline, deadline)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -327,7 +327,7 @@
 		switch {
 		case result != ReserveHeld && result != ReserveUnknown:
 		case prefillCtx.Err() != nil:
-			holds.addLateReservation(engine)
+			holds.addLateReservation(engine, askedAt)
 		default:
 			holds.addReservation(engine, askedAt, classifyReservation(result, ctx.Err() != nil))
 		}
--- a/gateway/holds.go
+++ b/gateway/holds.go
@@ -19,7 +19,9 @@
 // release except the one with the attempt in flight. An engine drops only what no attempt waits for:
 // if the decode attempt has arrived, the release costs one call, and if it has not, the KV state.
 // A running prefill does not wait for its KV state, so a release drops that state in advance. A reservation is
-// therefore released during a prefill only if the prefill engine gives no sign.
+// therefore released during a prefill only if the prefill engine gives no sign. A sign shows that the engine runs, not that
+// the prefill has arrived: its connection alone may be dead. Where no answer to a reservation call shows it either, the engine
+// with the reservation is sent a release at the deadline all the same.
 //
 // A release is uncertain if its engine may receive it before it notices that an attempt or a reservation
 // call was cancelled, or may read a cancelled call later. Uncertain releases are repeated.
@@ -37,8 +39,11 @@
 	answerBegun      bool                                // the first piece of the answer has arrived
 	finished         bool                                // the request has its final answer
 	inFlight         *inFlightAttempt                    // nil = none
+	answeredAt       float64                             // ms of the clock; when an attempt was last answered
 	prefillMissing   bool                                // an engine asked for a reservation knows of no prefill
 	prefillKnown     bool                                // an engine that holds a reservation knows of the prefill
+	reserved         []ashwood.Server                    // engines that answered a reservation call for the prefill in flight
+	unproven         []ashwood.Server                    // engines that may hold a reservation and have not shown that they know of that prefill
 	deadline         float64                             // ms of the clock; +Inf = nothing is held, or it has been released
 	timerAt          float64                             // when releaseExpired runs: at the deadline, up to arrivalTimeout later, or earlier during a prefill
 	stopTimer        func() bool                         // stops the timer of releaseExpired
@@ -73,15 +78,21 @@
 }
 
 // addReservation adds an engine that may hold a reservation since a call at askedAt, during the prefill. The
-// engine has confirmed it, has not answered, or knows of no prefill, which then has not arrived.
+// engine has confirmed it, has not answered, or knows of no prefill, which then has not arrived. The reservation has its
+// own deadline, unless an attempt was answered since.
 func (h *requestHolds) addReservation(engine ashwood.Server, askedAt float64, answer reservationState) {
 	limit := h.releaser.gateway.holdLimit
 	h.mu.Lock()
 	h.prefillMissing = h.prefillMissing || answer == reservationWithoutPrefill
 	h.prefillKnown = h.prefillKnown || answer == reservationConfirmed
-	if deadline := askedAt + limit; limit > 0 && deadline < h.deadline {
-		timerAt := deadline
-		if answer != reservationWithoutPrefill && h.releaser.gateway.probesAllowed {
+	if answer == reservationUnanswered {
+		h.unproven = append(h.unproven, engine)
+	} else {
+		h.reserved = append(h.reserved, engine)
+	}
+	if deadline := max(askedAt, h.answeredAt) + limit; limit > 0 && deadline < h.deadline && !h.finished {
+		timerAt, duringPrefill := deadline, h.inFlight != nil && h.inFlight.prefill
+		if duringPrefill && answer != reservationWithoutPrefill && h.releaser.gateway.probesAllowed {
 			timerAt = min(askedAt+prefillCheckAfter, deadline)
 		}
 		h.armTimer(deadline, timerAt)
@@ -96,14 +107,22 @@
 	h.releasing.Lock()
 	defer h.releasing.Unlock()
 	h.mu.Lock()
-	attempt, expired := h.inFlight, h.releaser.gateway.clock.Now() >= h.timerAt
+	attempt, now := h.inFlight, h.releaser.gateway.clock.Now()
+	expired := now >= h.timerAt
 	besidePrefill := attempt != nil && attempt.prefill && !h.prefillMissing
+	unknownPrefill := besidePrefill && len(h.unproven) > 0 && !h.prefillKnown
+	var unproven []ashwood.Server
 	if expired { // engines with cancelled calls may hold something since their last release
 		maps.Copy(h.holders, h.abandoned)
 	}
 	switch {
 	case !expired:
+	case unknownPrefill && now < h.deadline:
+		h.armTimer(h.deadline, h.deadline)
 	case besidePrefill:
+		if unknownPrefill {
+			unproven, h.unproven = h.unproven, nil
+		}
 		h.armTimer(h.deadline, math.Inf(1))
 	default:
 		h.armTimer(math.Inf(1), math.Inf(1))
@@ -115,12 +134,27 @@
 	case attempt == nil:
 		h.release(false)
 	case besidePrefill:
+		h.releaseUnproven(unproven, attempt.engine.ID)
 		h.releaser.gateway.runInBackground(func() { h.releaseUnlessPrefillArrived(attempt, prefillKnown, by) })
 	default:
 		h.releaseAllExcept(attempt.engine.ID)
 	}
 }
 
+// releaseUnproven sends a release to engines that may hold a reservation, although the prefill in flight may have arrived.
+// Substitutes get none: an engine that takes no call need not hold anything, and a release anywhere drops the KV state of a
+// running prefill.
+func (h *requestHolds) releaseUnproven(engines []ashwood.Server, attemptAt ashwood.ServerID) {
+	if len(engines) == 0 {
+		return
+	}
+	h.mu.Lock()
+	h.unconfirmed = append(h.unconfirmed, engines...)
+	h.mu.Unlock()
+	h.releaser.gateway.holdLog.releasedWithAttemptInFlight(h.key(attemptAt), len(engines))
+	h.releaser.enqueue(h.id, engines, true, func(release.EndReason) {})
+}
+
 // releaseUnlessPrefillArrived releases the holds of other engines if the prefill engine gives no sign,
 // before the time by if possible.
 func (h *requestHolds) releaseUnlessPrefillArrived(attempt *inFlightAttempt, prefillKnown bool, by float64) {
@@ -154,6 +188,7 @@
 		}
 	}
 	h.unconfirmed = append(h.unconfirmed, uncertain...)
+	h.reserved, h.unproven = nil, nil
 	h.mu.Unlock()
 	if len(certain)+len(uncertain) == 0 {
 		return
@@ -202,7 +237,7 @@
 // addLateReservation adds a decode engine that answered a reservation call only after the prefill.
 // The call may have arrived there after the first token of the answer, which then did not free
 // the reservation. It is released separately once the answer has begun.
-func (h *requestHolds) addLateReservation(engine ashwood.Server) {
+func (h *requestHolds) addLateReservation(engine ashwood.Server, askedAt float64) {
 	h.mu.Lock()
 	answerBegun, uncertain := h.answerBegun, h.isUncertain(engine.ID)
 	if !answerBegun {
@@ -213,7 +248,7 @@
 		h.releaser.gateway.holdLog.began(h.key(engine.ID), holdReservation)
 		h.releaser.releaseInBackground(h.id, []ashwood.Server{engine}, uncertain)
 	} else {
-		h.add(engine, holdReservation)
+		h.addReservation(engine, askedAt, reservationUnanswered) // whatever it answered, that was for an earlier attempt
 	}
 }
 
@@ -262,6 +297,7 @@
 		}
 	}
 	clear(h.holders)
+	h.reserved, h.unproven = nil, nil
 	if !final {
 		h.unconfirmed = append(h.unconfirmed, uncertain...)
 		h.uncertain = false
--- a/gateway/holds_test.go
+++ b/gateway/holds_test.go
@@ -193,7 +193,7 @@
 		h := newTestHolds(g, "q", "r1")
 		h.release(true)
 		fake.wantNextRelease(t, "r1")
-		h.addLateReservation(ashwood.Server{ID: "w1"})
+		h.addLateReservation(ashwood.Server{ID: "w1"}, h.releaser.gateway.clock.Now())
 		fake.wantNextRelease(t, "w1")
 	})
 }
@@ -202,9 +202,15 @@
 // ended, is released through another engine like any other hold.
 func TestHolds_LateReservationAtSilentEngine(t *testing.T) {
 	for name, late := range map[string]func(*requestHolds, ashwood.Server){
-		"reserved after the answer began":  func(h *requestHolds, engine ashwood.Server) { h.markAnswerBegun(); h.addLateReservation(engine) },
-		"reserved before the answer began": func(h *requestHolds, engine ashwood.Server) { h.addLateReservation(engine); h.markAnswerBegun() },
-		"reserved after the end":           func(h *requestHolds, engine ashwood.Server) { h.release(true); h.add(engine, holdReservation) },
+		"reserved after the answer began": func(h *requestHolds, engine ashwood.Server) {
+			h.markAnswerBegun()
+			h.addLateReservation(engine, h.releaser.gateway.clock.Now())
+		},
+		"reserved before the answer began": func(h *requestHolds, engine ashwood.Server) {
+			h.addLateReservation(engine, h.releaser.gateway.clock.Now())
+			h.markAnswerBegun()
+		},
+		"reserved after the end": func(h *requestHolds, engine ashwood.Server) { h.release(true); h.add(engine, holdReservation) },
 	} {
 		fake := &fakeTransport{silentFor: map[ashwood.ServerID]int{"w1": 1e6}}
 		runInBubble(t, fake, func(t *testing.T, g *Gateway) {
--- a/gateway/holds_time_test.go
+++ b/gateway/holds_time_test.go
@@ -179,7 +179,8 @@
 
 // The deadline of a reservation counts from the call while the prefill has no answer. The reservation is released if the
 // prefill engine gives no sign, or if the engine that was asked knows of no prefill, but not during a running
-// prefill, which would lose its KV state.
+// prefill, which would lose its KV state. A sign of the prefill engine alone, without an answer to the reservation call, kept a
+// reservation although the prefill's connection was dead.
 func TestHolds_ReservationBesideUnansweredPrefill(t *testing.T) {
 	for name, tt := range map[string]struct {
 		fake     *fakeTransport
@@ -187,11 +188,12 @@
 		timedOut bool
 		released time.Duration // 0 = not while the prefill is in flight
 	}{
-		"prefill engine gives no sign": {&fakeTransport{gatewayCount: 2, muteProbes: true}, ReserveHeld, false, (500 + arrivalTimeout) * time.Millisecond},
-		"prefill engine gives a sign":  {&fakeTransport{gatewayCount: 2}, ReserveHeld, false, 0},
-		"engine knows no prefill":      {&fakeTransport{gatewayCount: 2}, ReserveUnknown, false, 500 * time.Millisecond},
-		"probes not allowed":           {&fakeTransport{}, ReserveHeld, false, 0},
-		"no answer to the call":        {&fakeTransport{}, ReserveUnknown, true, 500 * time.Millisecond},
+		"prefill engine gives no sign":  {&fakeTransport{gatewayCount: 2, muteProbes: true}, ReserveHeld, false, (500 + arrivalTimeout) * time.Millisecond},
+		"prefill engine gives a sign":   {&fakeTransport{gatewayCount: 2}, ReserveHeld, false, 0},
+		"engine knows no prefill":       {&fakeTransport{gatewayCount: 2}, ReserveUnknown, false, 500 * time.Millisecond},
+		"probes not allowed":            {&fakeTransport{}, ReserveHeld, false, 0},
+		"no answer to the call":         {&fakeTransport{}, ReserveUnknown, true, 500 * time.Millisecond},
+		"no answer to the call, a sign": {&fakeTransport{gatewayCount: 2}, ReserveUnknown, true, 500 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runInBubble(t, tt.fake, func(t *testing.T, g *Gateway) {
--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -236,11 +236,17 @@
 	w.Header().Set(headerReport, c.engine.report())
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.conn.link.send(func() { // an answer counts as given only if it can be sent
+		if lost = c.conn.dead.Load(); lost {
+			return
+		}
 		c.end(event, rejected)
 		w.WriteHeader(code)
 		_, _ = io.WriteString(w, body) // the caller may have closed the connection
 		w.(http.Flusher).Flush()
 	})
+	if lost {
+		c.dropAnswer(r.Context())
+	}
 }
 
 func (e *engine) report() string {
@@ -285,7 +291,7 @@
 		return
 	}
 	e.mu.Lock()
-	delay, lost := e.answerDelay, e.loses > 0
+	delay, lost := e.answerDelay, e.loses > 0 || c.conn.dead.Load()
 	e.mu.Unlock()
 	checker.holdsTaken(c.id, c.attempt)
 	if lost {
--- a/lab/soak/engine_calls.go
+++ b/lab/soak/engine_calls.go
@@ -22,12 +22,23 @@
 		checker.holdBegun(id, e.index, hold{reservation: true, callerGone: connOf(r).closedByCaller(), since: receivedAt})
 		w.WriteHeader(http.StatusOK)
 	case e.work(r.Context(), noPrefillWait):
+		if scenario.UnknownHeld {
+			checker.holdBegun(id, e.index, hold{reservation: true, callerGone: connOf(r).closedByCaller(), since: receivedAt})
+		}
+		time.Sleep(e.currentDelay())
 		w.WriteHeader(http.StatusNoContent)
 	default:
 		abort()
 	}
 }
 
+// currentDelay returns by how much the engine's answers are late now.
+func (e *engine) currentDelay() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.answerDelay
+}
+
 // release drops the holds for a request. An engine that hangs drops them and does not answer.
 func (e *engine) release(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
--- a/lab/soak/events.go
+++ b/lab/soak/events.go
@@ -116,6 +116,10 @@
 		for _, gatewayLink := range e.links {
 			gatewayLink.resetAll()
 		}
+	case ConnectionsDead:
+		for _, gatewayLink := range e.links {
+			gatewayLink.killConns(event.Share)
+		}
 	case EngineDrains:
 		e.withLock(func() { e.draining = true })
 		tb.updateMembership(e.index, lifecycleDraining, tb.startTime(e.index))
@@ -135,6 +139,10 @@
 	case NetworkCut:
 		tb.silenceLinks(e, event.Gateways, true, false)
 	case EngineResetsConnections:
+	case ConnectionsDead:
+		for _, gatewayLink := range e.links {
+			gatewayLink.killConns(0)
+		}
 	case EngineDrains:
 		e.withLock(func() { e.draining = false })
 		tb.updateMembership(e.index, lifecycleUp, tb.startTime(e.index))
--- a/lab/soak/held_test.go
+++ b/lab/soak/held_test.go
@@ -76,12 +76,26 @@
 	}},
 	{"all but one unreachable, that one hangs", func(s *FaultScenario) { s.Events = allButOneSilent(EngineUnreachable) }},
 	{"all but one stopped, that one hangs", func(s *FaultScenario) { s.Events = allButOneSilent(EngineStops) }},
+	{"dead connections", func(s *FaultScenario) { deadPrefillConnections(s, 0) }},
+	{"dead connections, late reservations", func(s *FaultScenario) { deadPrefillConnections(s, 150*time.Millisecond) }},
 	{"releases are local", func(s *FaultScenario) {
 		s.LocalReleases = true
 		s.Events = silentAt(time.Second, 4*time.Second, 1, 3)
 	}},
 }
 
+// deadPrefillConnections makes connections to prefill engines dead, again and again, although the engines work on all others: a
+// reservation was kept for a prefill that never arrived, since its engine gave signs. Decode engines hold a reservation also for a
+// prefill that they don't know, and answer late by delay.
+func deadPrefillConnections(s *FaultScenario, delay time.Duration) {
+	const every, end = 200 * time.Millisecond, 6 * time.Second
+	s.UnknownHeld = true
+	s.Events = []Event{{Kind: EngineAnswersLate, At: time.Second, Duration: end - time.Second, Engines: []int{1, 3}, Delay: delay}}
+	for at := time.Second; at < end; at += every {
+		s.Events = append(s.Events, Event{Kind: ConnectionsDead, At: at, Duration: every / 2, Engines: []int{0, 2}, Share: 0.3})
+	}
+}
+
 // allButOneSilent makes a decode engine accept calls without answering, and silences all others a little later: releases reach only that one.
 func allButOneSilent(kind EventKind) []Event {
 	return []Event{
--- a/lab/soak/link.go
+++ b/lab/soak/link.go
@@ -1,7 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -27,6 +30,7 @@
 	resumed   chan struct{} // closed while there is no silence
 	fillers   []net.Conn    // connections that keep the listener's backlog full
 	conns     map[*linkConn]struct{}
+	deadShare float64 // of new connections, which are dead from the start
 	closed    chan struct{}
 	listening chan struct{} // closed while the engine's process listens
 	down      bool          // the engine's process does not listen
@@ -135,6 +139,20 @@
 	return k.listener.SetDeadline(time.Time{})
 }
 
+// killConns makes a share of the open connections dead, and sets that share for new ones.
+func (k *link) killConns(share float64) {
+	k.sending.Lock()
+	defer k.sending.Unlock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.deadShare = share
+	for c := range k.conns {
+		if rand.Float64() < share {
+			c.dead.Store(true)
+		}
+	}
+}
+
 // awaitOpen waits until there is no silence.
 func (k *link) awaitOpen() {
 	for {
@@ -206,6 +224,7 @@
 		conn := &linkConn{TCPConn: c, link: k}
 		k.mu.Lock()
 		k.conns[conn] = struct{}{}
+		conn.dead.Store(rand.Float64() < k.deadShare)
 		k.mu.Unlock()
 		return conn, nil
 	}
@@ -254,18 +273,26 @@
 	*net.TCPConn
 	link     *link
 	wasReset atomic.Bool // reset by the engine's side
+	dead     atomic.Bool // stays open, and passes nothing on either way any more
 }
 
-// Read reads from the connection and returns once there is no silence.
+// Read reads from the connection and returns once there is no silence; from a dead one, once the caller has closed it.
 func (c *linkConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
 	c.link.awaitOpen()
+	if err == nil && c.dead.Load() {
+		_, err = io.Copy(io.Discard, c.TCPConn)
+		return 0, cmp.Or(err, io.EOF)
+	}
 	return n, err
 }
 
 // Write writes once there is no silence.
 func (c *linkConn) Write(p []byte) (int, error) {
 	c.link.awaitOpen()
+	if c.dead.Load() {
+		return len(p), nil
+	}
 	return c.TCPConn.Write(p)
 }
 
--- a/lab/soak/story.go
+++ b/lab/soak/story.go
@@ -60,6 +60,7 @@
 	EngineResetsConnections EventKind = "resets-open"       // resets all its open connections, once
 	EngineLosesAnswers      EventKind = "loses-answers"     // processes requests and never answers
 	EngineAnswersLate       EventKind = "answers-late"      // answers later by Event.Delay
+	ConnectionsDead         EventKind = "conns-dead"        // a share of the open and new connections stays open and passes nothing on any more; all else works
 	EngineDrains            EventKind = "engine-drains"     // membership says draining; the engine finishes what it has
 	EngineCrashes           EventKind = "engine-dies"       // restarts at the same address: cold, with all its state lost
 	DiscoverySilent         EventKind = "discovery-silent"  // the gateway's discovery agent does not answer
@@ -77,11 +78,12 @@
 	Engines  []int
 	Gateways []int
 	Delay    time.Duration
+	Share    float64 // of the connections concerned
 }
 
 // String formats the event on one line.
 func (e Event) String() string {
-	return fmt.Sprintf("%7.3fs %-18s for %.3fs engines %v gateways %v delay %v", e.At.Seconds(), e.Kind, e.Duration.Seconds(), e.Engines, e.Gateways, e.Delay)
+	return fmt.Sprintf("%7.3fs %-18s for %.3fs engines %v gateways %v delay %v share %.2f", e.At.Seconds(), e.Kind, e.Duration.Seconds(), e.Engines, e.Gateways, e.Delay, e.Share)
 }
 
 // ClientKind names a client's behaviour.
@@ -116,6 +118,7 @@
 	Events   []Event
 
 	Reservations          bool
+	UnknownHeld           bool // engines hold a reservation also when they answer that they know of no prefill
 	BlindReservations     bool // engines hold a reservation whether or not its prompt is being read
 	Probes                bool
 	Reports               string  // "inline", "on_probe" or "off"
@@ -128,8 +131,8 @@
 // String formats the scenario as a script, one line for each class, engine and event.
 func (s *FaultScenario) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "seed %d: %v, %d gateways, %d zones, %d clients, reservations %v (blind %v), probes %v, reports %s, own releases %v, reads outlive %v, slow %.2f, sockets %d\n",
-		s.Seed, s.Length, s.Gateways, s.Zones, len(s.Clients), s.Reservations, s.BlindReservations, s.Probes, s.Reports, s.LocalReleases, s.PrefillsOutliveCaller, s.SlowFirstTokenShare, s.Sockets)
+	fmt.Fprintf(&b, "seed %d: %v, %d gateways, %d zones, %d clients, reservations %v (blind %v, unknown held %v), probes %v, reports %s, own releases %v, reads outlive %v, slow %.2f, sockets %d\n",
+		s.Seed, s.Length, s.Gateways, s.Zones, len(s.Clients), s.Reservations, s.BlindReservations, s.UnknownHeld, s.Probes, s.Reports, s.LocalReleases, s.PrefillsOutliveCaller, s.SlowFirstTokenShare, s.Sockets)
 	for _, c := range s.Classes {
 		fmt.Fprintf(&b, "  class %s %s aim %v deadline %v\n", c.Name, c.Effect, c.Aim, c.Deadline)
 	}
