--- a/internal/grpcfront/server.go
+++ b/internal/grpcfront/server.go
@@ -10,7 +10,6 @@
 	"runtime/debug"
 	"time"
 
-	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
@@ -20,7 +19,6 @@
 	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
-	"google.golang.org/protobuf/types/known/durationpb"
 	"google.golang.org/protobuf/types/known/emptypb"
 
 	"ashwood.example/ashwood"
@@ -186,42 +184,6 @@
 	}
 }
 
-// refusalStatus tells the client when to retry. Both codes say that the request
-// did not run or may be repeated: RESOURCE_EXHAUSTED that there was no capacity for
-// it, UNAVAILABLE that no engine has answered.
-func refusalStatus(reply gateway.Reply) error {
-	code := codes.ResourceExhausted
-	if reply.Err != nil {
-		code = codes.Unavailable
-	}
-	st, err := status.New(code, "refused: try again later").WithDetails(&errdetails.RetryInfo{
-		RetryDelay: durationpb.New(clock.Duration(reply.RetryAfter)),
-	})
-	if err != nil {
-		return status.Error(code, "refused: try again later")
-	}
-	return st.Err()
-}
-
-// failureStatus returns the status of a request that may have run. Its code must be none that a client repeats a
-// call after, and none by which this front says that a request has not run. An engine may end a call that has run
-// with any code and details, so only the code of a plain failure is kept.
-func failureStatus(err error) error {
-	switch {
-	case errors.Is(err, gateway.ErrFirstTokenTimeout):
-		return status.Error(codes.DeadlineExceeded, err.Error())
-	case errors.Is(err, gateway.ErrClientGone):
-		return status.Error(codes.Canceled, err.Error())
-	case err == nil:
-		return status.Error(codes.Unknown, "failed: it may have run")
-	}
-	code := status.Code(err)
-	if code != codes.Internal && code != codes.DataLoss {
-		code = codes.Unknown
-	}
-	return status.Error(code, "failed: it may have run: "+err.Error())
-}
-
 // parseRequest decodes the fields that decisions need.
 func (s *Server) parseRequest(ctx context.Context, raw []byte) (*gateway.Request, error) {
 	var in ashwoodpb.GenerateRequest
