--- a/cmd/ashwood/main_test.go
+++ b/cmd/ashwood/main_test.go
@@ -141,6 +141,16 @@
 }
 
 func sendOrderWith(t *testing.T, client *http.Client, listen string) *http.Response {
+	t.Helper()
+	r, err := client.Do(newOrder(t, listen))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { r.Body.Close() })
+	return r
+}
+
+func newOrder(t *testing.T, listen string) *http.Request {
 	t.Helper()
 	req, err := http.NewRequest("POST", "http://"+listen+"/v1/chat/completions", strings.NewReader("{}"))
 	if err != nil {
@@ -149,12 +159,7 @@
 	for k, v := range map[string]string{"X-Txn": "9b1f", "X-Lane": "send-order", "X-Remaining": "15.0", "X-Labels": "prompt_len=64,max_out=9"} {
 		req.Header.Set(k, v)
 	}
-	r, err := client.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { r.Body.Close() })
-	return r
+	return req
 }
 
 func configJSON(discovery, known string) string {
--- a/cmd/ashwood/unfinished_test.go
+++ b/cmd/ashwood/unfinished_test.go
@@ -82,6 +82,42 @@
 	}
 }
 
+// Guards against sound clients whose new connection is closed unread, and reset, while more connections come at once than the
+// gateway takes: the one that has been read last is taken for the one that has been silent longest.
+func TestEvict_BurstOfConnections(t *testing.T) {
+	sockets := 256.0
+	text := configJSON(startDiscovery(t, startEngines(t, func() {})), "null")
+	_, listen, _ := startProgram(t, strings.Replace(text, `"memory_mb":192,"sockets":1024`, `"memory_mb":96,"sockets":256`, 1), "")
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	crowdEnded := make(chan struct{})
+	go func() {
+		defer close(crowdEnded)
+		connections := int(sockets * clientSocketShare)
+		crowd := unfinishedBodies[1]
+		runCrowd(connections, 6*connections, func() { beginRequest(t, listen, crowd.framing, crowd.body) })
+	}()
+	orders, failed := 0, 0
+	for open := true; open; orders++ {
+		response, err := client.Do(newOrder(t, listen))
+		if err == nil {
+			_, err = io.ReadAll(response.Body)
+			response.Body.Close()
+		}
+		if err != nil {
+			failed++
+			t.Logf("order %d: %v", orders, err)
+		}
+		select {
+		case <-crowdEnded:
+			open = false
+		default:
+		}
+	}
+	if failed > 0 {
+		t.Errorf("%d of %d orders got no answer", failed, orders)
+	}
+}
+
 // runCrowd runs some clients, so many of them at once, and waits for their end.
 func runCrowd(atOnce, clients int, client func()) {
 	var all sync.WaitGroup
--- a/internal/platform/handover.go
+++ b/internal/platform/handover.go
@@ -59,7 +59,7 @@
 	s.listener.handover.Store(&send)
 }
 
-// Move passes the stream's state and connection to give, between two pieces.
+// HandOver passes the stream's state and connection to give, between two pieces.
 func (s *engineStream) HandOver(give func(gateway.HandoverState) error) error {
 	state := bodyState{Keep: s.reusable, Tail: s.tail}
 	switch b := s.body.(type) {
