--- /dev/null
+++ b/cmd/ashwood/flood_test.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	floodTime    = 4 * time.Second
+	floodClients = 6
+	soundClients = 6
+	soundWait    = 800 * time.Millisecond // for which a sound client waits for its first token
+	answerSlack  = 500 * time.Millisecond // within which an answer after that counts as late and not as lost
+	coreShare    = 0.25                   // of a core that the gateway gets
+	sharePeriod  = 20 * time.Millisecond  // in which it gets that share in one piece
+)
+
+// floods are requests that one client sends on one connection at full speed, without waiting for their answers.
+var floods = []struct {
+	name    string
+	request func(n int64) string
+}{
+	{"unknown classes", func(n int64) string { return postText(fmt.Sprint("u", n), fmt.Sprint("class-", n), "prompt_len=4", "{}") }},
+	{"too long prompts", func(n int64) string { return postText(fmt.Sprint("l", n), "case-chat", "prompt_len=900000000", "{}") }},
+	{"bodies that are no JSON", func(n int64) string { return postText(fmt.Sprint("j", n), "case-chat", "prompt_len=4", "{") }},
+	{"readiness checks", func(int64) string { return "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n" }},
+}
+
+func postText(id, class, labels, body string) string {
+	return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Txn: %s\r\nX-Lane: %s\r\nX-Entity: e%s\r\nX-Remaining: 5.000\r\nX-Labels: %s\r\nContent-Length: %d\r\n\r\n%s",
+		id, class, id, labels, len(body), body)
+}
+
+// flood sends requests until stop is closed, on a new connection whenever the gateway closes one.
+func flood(listen string, sent *atomic.Int64, request func(n int64) string, stop chan struct{}) {
+	const batch = 20
+	for {
+		c, err := net.Dial("tcp", listen)
+		if err != nil {
+			return
+		}
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			io.Copy(io.Discard, c)
+		}()
+		for err == nil {
+			var text strings.Builder
+			for range batch {
+				text.WriteString(request(sent.Add(1)))
+			}
+			select {
+			case <-stop:
+				c.Close()
+				<-ended
+				return
+			default:
+				_, err = io.WriteString(c, text.String())
+			}
+		}
+		c.Close()
+		<-ended
+	}
+}
+
+// shareCore gives a process a share of a core until stop is closed, as on a machine where others have the rest.
+func shareCore(process *os.Process, share float64, stop chan struct{}) {
+	running := time.Duration(share * float64(sharePeriod))
+	for {
+		process.Signal(syscall.SIGSTOP)
+		time.Sleep(sharePeriod - running)
+		process.Signal(syscall.SIGCONT)
+		select {
+		case <-stop:
+			return
+		case <-time.After(running):
+		}
+	}
+}
+
+// fleetConfig is the configuration of one of four gateways that probe their engines.
+func fleetConfig(t *testing.T) string {
+	text := configJSON(startDiscovery(t, startEngines(t, func() {})), "null")
+	return strings.NewReplacer(`"siblings":1`, `"siblings":4`, `"cancel":true`, `"cancel":true,"probes":true`, `"cores":1`, fmt.Sprintf(`"cores":%v`, coreShare)).Replace(text)
+}
+
+// Guards against clients whose answers come late or never while others send small or unsound requests at full speed.
+func TestFlood_OtherClientsAnsweredInTime(t *testing.T) {
+	for _, tt := range floods {
+		t.Run(tt.name, func(t *testing.T) {
+			cmd, listen, _ := startProgram(t, fleetConfig(t), "")
+			stop := make(chan struct{})
+			var flooding, sound sync.WaitGroup
+			flooding.Go(func() { shareCore(cmd.Process, coreShare, stop) })
+			var sent, asked, wrong atomic.Int64
+			for range floodClients {
+				flooding.Go(func() { flood(listen, &sent, tt.request, stop) })
+			}
+			for client := range soundClients {
+				sound.Go(func() {
+					httpClient := &http.Client{Transport: &http.Transport{}}
+					defer httpClient.CloseIdleConnections()
+					for started := time.Now(); time.Since(started) < floodTime; {
+						n := asked.Add(1)
+						begun := time.Now()
+						status, err := askSound(httpClient, listen, fmt.Sprintf("s%d-%d", client, n))
+						if waited := time.Since(begun); status != http.StatusOK || err != nil || waited > soundWait+answerSlack {
+							wrong.Add(1)
+							t.Logf("request %d: status %d, %v, after %v", n, status, err, waited)
+						}
+					}
+				})
+			}
+			sound.Wait()
+			close(stop)
+			flooding.Wait()
+			t.Logf("%d requests beside %d of the flood", asked.Load(), sent.Load())
+			if wrong.Load() > 0 {
+				t.Errorf("%d of %d requests were not served within %v", wrong.Load(), asked.Load(), soundWait+answerSlack)
+			}
+		})
+	}
+}
+
+// askSound sends a sound request and reads its answer to the end.
+func askSound(client *http.Client, listen, id string) (status int, err error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+listen+"/v1/chat/completions", strings.NewReader("{}"))
+	if err != nil {
+		return 0, err
+	}
+	for name, value := range map[string]string{
+		"X-Txn": id, "X-Lane": "case-chat", "X-Remaining": fmt.Sprintf("%.3f", soundWait.Seconds()), "X-Labels": "prompt_len=64,max_out=9",
+	} {
+		request.Header.Set(name, value)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err == nil && response.StatusCode == http.StatusOK && string(body) != fullAnswer {
+		err = fmt.Errorf("answered %q", body)
+	}
+	return response.StatusCode, err
+}
