--- a/cmd/ashwood/flood_test.go
+++ b/cmd/ashwood/flood_test.go
@@ -29,7 +29,9 @@
 	name    string
 	request func(n int64) string
 }{
-	{"unknown classes", func(n int64) string { return postText(fmt.Sprint("u", n), fmt.Sprint("class-", n), "prompt_len=4", "{}") }},
+	{"unknown classes", func(n int64) string {
+		return postText(fmt.Sprint("u", n), fmt.Sprint("class-", n), "prompt_len=4", "{}")
+	}},
 	{"too long prompts", func(n int64) string { return postText(fmt.Sprint("l", n), "case-chat", "prompt_len=900000000", "{}") }},
 	{"bodies that are no JSON", func(n int64) string { return postText(fmt.Sprint("j", n), "case-chat", "prompt_len=4", "{") }},
 	{"readiness checks", func(int64) string { return "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n" }},
