Keep prompts that fit no engine out of the averages of arriving prompts

Cause: a request's prompt went into the averages of arriving prompts before its length was looked at. Admission reserves room for what arrives during one prefill, and for other gateways' queues in requests of the mean prompt.

Why this works: what no engine can hold is refused before it counts for anything but its tenant's rate.

The test failed before ("request sent to \"\", want \"r1\"", a refusal for lack of room) and passes now; the package's tests pass.

--- a/admission_test.go
+++ b/admission_test.go
@@ -164,6 +164,26 @@
 	}
 }
 
+// Guards against requests refused for lack of memory that others' prompts, too long for any engine, were counted to need.
+func TestAdmission_TooLongPromptsOfOthers(t *testing.T) {
+	settings := testSettings()
+	settings.Nodes = 4
+	gateway := newGateway(t, settings, prefillServer("r1"), decodeServer("w1", 0))
+	for i := range 20 {
+		id := fmt.Sprint("q", i)
+		gateway.requestChat(id, uint64(i), 0)
+		gateway.endAttempt(id, 0, "r1", StatusPrefilled)
+		gateway.handle(Outcome{ID: RequestID(id), Attempt: 1, Server: "w1", Status: StatusServed, RequestDone: true,
+			Latency: 50 * ms, Report: Report{ReportMemory: 0.1}})
+		gateway.now += 10 * ms
+	}
+	for i := range 50 {
+		gateway.handle(Request{ID: RequestID(fmt.Sprint("long", i)), Class: "chat", Session: 1, PromptTokens: 9e8, TimeLeft: 5 * time.Second})
+	}
+	gateway.requestChat("a", 1, 0)
+	gateway.expectSentTo("r1")
+}
+
 // Where the settings add to the aim for each 1,000 prompt tokens, the wait at which a request is refused as too late
 // grows with its prompt.
 func TestAdmission_AimGrowsWithPrompt(t *testing.T) {
--- a/scheduler.go
+++ b/scheduler.go
@@ -98,22 +98,29 @@
 		deadline: min(s.now+e.TimeLeft, s.shutdownAt),
 	}
 	s.requests[e.ID] = request
-	s.classTokens[class] = cmp.Or(s.classTokens[class], e.PromptTokens)
-	s.classTokens[class] += ewmaWeight * (e.PromptTokens - s.classTokens[class])
-	s.meanPromptTokens += ewmaWeight * (e.PromptTokens - s.meanPromptTokens)
-	s.arrivingTokens.Add(s.now, time.Second, e.PromptTokens)
 	if rate := s.tenantRate[e.Tenant]; rate != nil {
 		rate.Add(s.now, time.Second, 1)
 	}
-	s.setTimer(request.deadline-s.now, pendingTimer{requestID: e.ID, purpose: timerAdvance})
-	s.creditChanceAllowance()
 	if request.PromptTokens > s.maxPromptTokens {
 		s.giveUp(request, ReasonPromptTooLong)
 		return
 	}
+	s.recordArrival(request)
+	s.setTimer(request.deadline-s.now, pendingTimer{requestID: e.ID, purpose: timerAdvance})
+	s.creditChanceAllowance()
 	s.advance(request)
 }
 
+// recordArrival adds a request to the averages of arriving prompts. Engines never get prompts that fit
+// none of them, so these don't count.
+func (s *Scheduler) recordArrival(request *trackedRequest) {
+	class, tokens := request.class, request.PromptTokens
+	s.classTokens[class] = cmp.Or(s.classTokens[class], tokens)
+	s.classTokens[class] += ewmaWeight * (tokens - s.classTokens[class])
+	s.meanPromptTokens += ewmaWeight * (tokens - s.meanPromptTokens)
+	s.arrivingTokens.Add(s.now, time.Second, tokens)
+}
+
 // advance makes the next attempt for a request that has none in flight, or gives it up.
 func (s *Scheduler) advance(request *trackedRequest) {
 	switch {
