--- a/state.go
+++ b/state.go
@@ -105,22 +105,6 @@
 	done              bool // it has its final answer, or its answer has started
 }
 
-// pendingTimer tells what a TimerFired event is for. A purpose of 0 or more is the number of an
-// attempt to check for being overdue; others are the timer constants.
-type pendingTimer struct {
-	requestID RequestID
-	purpose   int
-	attempt   int // with timerLiveness
-}
-
-// Purposes of timers.
-const (
-	timerAdvance  = -1 - iota // look again for a server
-	timerWatch                // watch membership again
-	timerShutdown             // give up what is unanswered
-	timerLiveness             // look for a liveness signal of an attempt's server
-)
-
 // Scheduler makes the decisions of one node.
 type Scheduler struct {
 	settings         Settings
@@ -153,12 +137,6 @@
 
 func (s *Scheduler) emit(a Action) { s.actions = append(s.actions, a) }
 
-func (s *Scheduler) setTimer(delay time.Duration, timer pendingTimer) {
-	s.lastTimer++
-	s.timers[s.lastTimer] = timer
-	s.emit(SetTimer{At: s.now + max(delay, time.Millisecond), Token: s.lastTimer})
-}
-
 // findInFlight returns the attempt that an event is about if it is still in flight.
 func (s *Scheduler) findInFlight(id RequestID, index int, server ServerID) (*trackedRequest, *trackedAttempt) {
 	request := s.requests[id]
