End a request's timers with the request

And where a client comes again with the id of a request that has ended, the timers of the first act on the second: a panic (index out of range) in the run of timers, or an attempt begun by a timer that is not its own.

Cause: timers were kept by request id until they fired, whatever had become of their request. Class: state that outlives its owner, and is found again by a name that clients make up.

Why this works: a request knows its pending timers and takes them along when it is removed; the heap of the blocking face drops those of ended requests once they are the greater part. Late firings are ignored as before, so the decisions of running requests are the same.

--- a/flight.go
+++ b/flight.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"slices"
 )
 
 // flight is a request that the router has admitted and not finished.
@@ -106,6 +107,7 @@
 		case Fail:
 			r.finish(a.ID, Step{Kind: StepFail, Reason: a.Reason})
 		case SetTimer:
+			r.pruneTimers()
 			heap.Push(&r.timers, a)
 			if r.timers[0] == a {
 				select {
@@ -158,6 +160,22 @@
 	}
 }
 
+// maxStaleTimers is how many timers of ended requests the heap may hold beside as many as are pending.
+const maxStaleTimers = 256
+
+// pruneTimers removes the timers of ended requests once they are the greater part of the heap: a client sets how
+// long its request's timer runs, however soon the request ends.
+func (r *Router) pruneTimers() {
+	if len(r.timers) <= 2*len(r.scheduler.timers)+maxStaleTimers {
+		return
+	}
+	r.timers = slices.DeleteFunc(r.timers, func(timer SetTimer) bool {
+		_, pending := r.scheduler.timers[timer.Token]
+		return !pending
+	})
+	heap.Init(&r.timers)
+}
+
 // timerHeap orders timers by expiry.
 type timerHeap []SetTimer
 
--- a/outcomes.go
+++ b/outcomes.go
@@ -89,7 +89,7 @@
 	case e.RequestDone && !request.done || request.done && !attempt.answerStarted:
 		s.closeRequest(request) // also if a prefill has finished after the request's end
 	case request.done:
-		delete(s.requests, request.ID)
+		s.removeRequest(request)
 	default:
 		s.advance(request)
 	}
@@ -170,11 +170,10 @@
 
 // handleTimer does what an expired timer was set for.
 func (s *Scheduler) handleTimer(e TimerFired) {
-	timer, ok := s.timers[e.Token]
+	timer, ok := s.takeTimer(e.Token)
 	if !ok {
 		return
 	}
-	delete(s.timers, e.Token)
 	request := s.requests[timer.requestID]
 	switch {
 	case timer.purpose == timerWatch:
--- a/scheduler.go
+++ b/scheduler.go
@@ -287,7 +287,7 @@
 		}
 	}
 	if request.inFlight == 0 {
-		delete(s.requests, request.ID)
+		s.removeRequest(request)
 	}
 }
 
--- a/state.go
+++ b/state.go
@@ -102,7 +102,8 @@
 	stayInZone        bool            // a connection to another zone failed: only servers of this zone from then on
 	reservationsAsked int
 	tried             map[*trackedServer]bool
-	done              bool // it has its final answer, or its answer has started
+	timers            []uint64 // tokens of its pending timers
+	done              bool     // it has its final answer, or its answer has started
 }
 
 // Scheduler makes the decisions of one node.
