Answer what needs no engine at a bounded rate on each connection

Cause (H1): a request of a class that the settings do not have was answered 400 and its connection kept, so a client that does not wait for answers had the next one read and answered at once, without end. On one processor such a connection's goroutine never waits; each of the some forty steps of a sound request stood behind six of them, up to 10 ms each. Class: work for a client without a bound on its rate. The same held for an id in use (409), for readiness checks and for refusals; requests that could not be parsed closed their connection already.

Why this works: what is not sound closes its connection, on HTTP/1.1, Fiber and net/http alike.

--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
 )
 
 // writeTimeout bounds each write to a client that does not read.
@@ -22,7 +23,7 @@
 func WrapListener(l net.Listener) net.Listener { return newListener(l, 0) }
 
 func newListener(l net.Listener, limit int) *listener {
-	wrapped := &listener{Listener: l, started: time.Now(), maxConns: limit, limit: limit, log: slog.New(slog.DiscardHandler), memory: newRequestMemory()}
+	wrapped := &listener{Listener: l, started: time.Now(), maxConns: limit, limit: limit, log: slog.New(slog.DiscardHandler), memory: newRequestMemory(), quickAnswers: newQuickAnswerLimit(quickAnswersPerFront)}
 	wrapped.changed.L = &wrapped.mu
 	return wrapped
 }
@@ -39,6 +40,8 @@
 	memory   *requestMemory
 	log      *slog.Logger
 
+	quickAnswers *rate.Limiter // over all connections
+
 	mu                sync.Mutex
 	limit             int // this process's part of maxConns
 	open              int
@@ -292,6 +295,7 @@
 	parsedLengthKnown      bool // bytesParsed is exact; it is not after a chunked body, whose length on the wire is unknown
 	usedReadAhead          bool // part of the next request was read while an answer was in flight
 	answerEnded            bool
+	quickAnswers           *rate.Limiter // nil before the first answer without an engine's work
 
 	mu             sync.Mutex
 	readAhead      []byte
--- a/internal/platform/nethttp.go
+++ b/internal/platform/nethttp.go
@@ -8,8 +8,11 @@
 	"net/netip"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/gateway"
 )
@@ -21,6 +24,9 @@
 	Handler Handler
 	Front   string // name of the front in package limits
 	Log     *slog.Logger
+
+	quickAnswersOnce sync.Once
+	quickAnswers     *rate.Limiter // over all connections, which the host's server doesn't tell apart
 }
 
 // ServeHTTP answers a request. A client's disconnect is noticed through the request's context, which
@@ -43,17 +49,16 @@
 	}()
 	req, code, err := n.readRequest(w, r)
 	if err != nil {
-		w.Header().Set("Connection", "close") // the next request may not begin where it seems to
-		http.Error(w, err.Error(), code)
+		n.rejectRequest(w, code, err)
 		return
 	}
 	reply, err := n.Handler.Serve(r.Context(), req)
 	switch {
 	case errors.Is(err, ashwood.ErrDuplicate):
-		http.Error(w, err.Error(), http.StatusConflict)
+		n.rejectRequest(w, http.StatusConflict, err)
 		return
 	case err != nil:
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		n.rejectRequest(w, http.StatusBadRequest, err)
 		return
 	}
 	switch reply.Kind {
@@ -61,6 +66,9 @@
 		streamStarted = true
 		n.writeStream(w, reply.Stream)
 	case gateway.Refused:
+		if !n.mayKeepAfterQuickAnswer() {
+			w.Header().Set("Connection", "close")
+		}
 		if reply.RetryAfter > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(reply.RetryAfter/1000, 'f', 3, 64))
 		}
@@ -72,6 +80,18 @@
 	}
 }
 
+// mayKeepAfterQuickAnswer counts an answer without an engine's work, and reports whether the connection may be kept.
+func (n *NetHTTP) mayKeepAfterQuickAnswer() bool {
+	n.quickAnswersOnce.Do(func() { n.quickAnswers = newQuickAnswerLimit(quickAnswersPerFront) })
+	return n.quickAnswers.Allow()
+}
+
+// rejectRequest answers a request that is not sound and closes its connection, as the platform's own server does.
+func (n *NetHTTP) rejectRequest(w http.ResponseWriter, code int, err error) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, err.Error(), code)
+}
+
 // readRequest reads a request within bounds of size and time.
 func (n *NetHTTP) readRequest(w http.ResponseWriter, r *http.Request) (*gateway.Request, int, error) {
 	rc := http.NewResponseController(w)
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -173,6 +173,7 @@
 		ctx.SetStatusCode(s.readinessStatus())
 		if ownListener { // it is not a client's request, and no answer to one is pending
 			conn.endAnswer()
+			limitQuickAnswers(ctx, conn)
 		}
 	default:
 		HandleFastHTTP(ctx, s.handler, frontName)
@@ -223,8 +224,7 @@
 func HandleFastHTTP(ctx *fasthttp.RequestCtx, handler Handler, front string) {
 	req, err := parseFastHTTP(&ctx.Request)
 	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-		ctx.SetConnectionClose() // the next request may not begin where it seems to
+		rejectRequest(ctx, fasthttp.StatusBadRequest, err)
 		return
 	}
 	req.Front = front
@@ -250,6 +250,7 @@
 	defer func() {
 		if !streaming {
 			endRequest()
+			limitQuickAnswers(ctx, conn)
 		}
 	}()
 	if !admitted {
@@ -259,10 +260,10 @@
 	reply, err := handler.Serve(clientCtx, req)
 	switch {
 	case errors.Is(err, ashwood.ErrDuplicate):
-		ctx.Error(err.Error(), fasthttp.StatusConflict)
+		rejectRequest(ctx, fasthttp.StatusConflict, err)
 		return
 	case err != nil:
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		rejectRequest(ctx, fasthttp.StatusBadRequest, err)
 		return
 	}
 	switch reply.Kind {
@@ -282,6 +283,21 @@
 	}
 }
 
+// rejectRequest answers a request that is not sound and closes its connection: the next request may not begin where
+// it seems to, and a client of such requests is not to be served at full speed.
+func rejectRequest(ctx *fasthttp.RequestCtx, code int, err error) {
+	ctx.Error(err.Error(), code)
+	ctx.SetConnectionClose()
+}
+
+// limitQuickAnswers closes the connection with an answer without an engine's work if it, or all connections together,
+// have had too many of these. conn is nil where the host's listener is not wrapped.
+func limitQuickAnswers(ctx *fasthttp.RequestCtx, conn *clientConn) {
+	if conn != nil && !conn.mayKeepAfterQuickAnswer() {
+		ctx.SetConnectionClose()
+	}
+}
+
 // logRequestRead logs a request that has been read, with the age of its connection and the number of
 // requests read from it, including this one.
 func logRequestRead(conn *clientConn, ctx *fasthttp.RequestCtx, req *gateway.Request) {
