Pause while a body is read that comes in very small pieces

Callers saw: beside clients that send bodies in chunks of a single byte at full speed, others wait as beside the flood of unknown classes.

Why this works: the reading pauses 5 ms behind every 4,096 pieces of under 64 bytes. Other bodies never pause.

--- a/cmd/ashwood/flood_test.go
+++ b/cmd/ashwood/flood_test.go
@@ -16,12 +16,13 @@
 
 const (
 	floodTime    = 4 * time.Second
-	floodClients = 6
+	floodClients = 12
 	soundClients = 6
 	soundWait    = 800 * time.Millisecond // for which a sound client waits for its first token
 	answerSlack  = 500 * time.Millisecond // within which an answer after that counts as late and not as lost
 	coreShare    = 0.25                   // of a core that the gateway gets
 	sharePeriod  = 20 * time.Millisecond  // in which it gets that share in one piece
+	maxBody      = 256 << 10              // of a request, in bytes
 )
 
 // floods are requests that one client sends on one connection at full speed, without waiting for their answers.
@@ -34,6 +35,10 @@
 	}},
 	{"too long prompts", func(n int64) string { return postText(fmt.Sprint("l", n), "case-chat", "prompt_len=900000000", "{}") }},
 	{"bodies that are no JSON", func(n int64) string { return postText(fmt.Sprint("j", n), "case-chat", "prompt_len=4", "{") }},
+	{"bodies in chunks of a byte", func(n int64) string {
+		head := "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Txn: %d\r\nX-Lane: case-chat\r\nX-Remaining: 5.000\r\nTransfer-Encoding: chunked\r\n\r\n"
+		return fmt.Sprintf(head, n) + strings.Repeat("1\r\n \r\n", maxBody)
+	}},
 	{"readiness checks", func(int64) string { return "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n" }},
 }
 
--- a/internal/platform/body.go
+++ b/internal/platform/body.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"io"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -11,6 +12,14 @@
 // firstBodyBuffer is the size in bytes of the buffer in which the reading of a body begins.
 const firstBodyBuffer = 8 << 10
 
+// A body may come in chunks of a single byte, which cost far more than they bring. Where many are small, others get the
+// processor in pauses, so short that the largest body of such chunks is still read within readTimeout.
+const (
+	smallPieceBytes     = 64
+	smallPiecesPerPause = 4096
+	smallPiecesPause    = 5 * time.Millisecond
+)
+
 // readBody reads the body of a request whose header has been read. The server's library does not do it: it would
 // reserve the length that a client announces, and twice the size of a chunked body, without a limit over all
 // clients.
@@ -39,6 +48,7 @@
 		limit = length
 	}
 	var body []byte
+	smallPieces := 0
 	for {
 		if len(body) == limit {
 			return body, expectEnd(stream)
@@ -54,6 +64,11 @@
 		}
 		n, err := stream.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
+		if n < smallPieceBytes {
+			if smallPieces++; smallPieces%smallPiecesPerPause == 0 {
+				time.Sleep(smallPiecesPause)
+			}
+		}
 		switch {
 		case errors.Is(err, io.EOF) && len(body) < length:
 			return nil, io.ErrUnexpectedEOF
