End an answer as whole only where its events show that it is

An order that has run looks answered, and the answer lacks what the engine did not write.

Class: the end of a layer below taken for the end of the message.

Why this works: the events are followed line by line. When the framing has ended, no event may be open; a body that ends with its connection must have brought the terminator ([DONE]); and where an engine of the same kind has ended an answer with the terminator, each answer must bring it. An adopted answer is followed from its last bytes, so the hand-over's message is unchanged.

--- a/internal/platform/engines.go
+++ b/internal/platform/engines.go
@@ -50,8 +50,9 @@
 // Engines sends attempts, reservations, releases and probes to engines over
 // pooled HTTP/1.1 connections. It never resends a request by itself.
 type Engines struct {
-	pool  *connPool
-	clock clock.Clock
+	pool        *connPool
+	clock       clock.Clock
+	terminators terminatorRecord
 
 	mu        sync.Mutex
 	stopSweep func() bool // cancels the next sweep
@@ -228,7 +229,7 @@
 	result := ashwood.Result{Report: wire.ParseReport(string(response.Peek(headerLoadReport)))}
 	code := response.StatusCode()
 	if code == fasthttp.StatusOK {
-		stream := e.newStream(ctx, c, &response)
+		stream := e.newStream(ctx, c, attempt.Engine.Kind, &response)
 		stopTimeout := e.startTimeout(c, completionTimeout) // the engine sends the header together with the first token
 		err := stream.readFirstEvent()
 		stopTimeout()
--- a/internal/platform/handover.go
+++ b/internal/platform/handover.go
@@ -85,16 +85,17 @@
 }
 
 // adoptStream continues an engine's answer that another process has begun.
-func (e *Engines) adoptStream(ctx context.Context, nc net.Conn, addr string, state bodyState) (*engineStream, error) {
-	c := &engineConn{Conn: nc, reader: bufio.NewReaderSize(io.MultiReader(bytes.NewReader(state.Buffered), nc), 4096), addr: addr}
-	s := &engineStream{pool: e.pool, conn: c, reusable: state.Keep, tail: state.Tail}
+func (e *Engines) adoptStream(ctx context.Context, nc net.Conn, engine ashwood.Server, state bodyState) (*engineStream, error) {
+	c := &engineConn{Conn: nc, reader: bufio.NewReaderSize(io.MultiReader(bytes.NewReader(state.Buffered), nc), 4096), addr: engine.Address}
+	s := &engineStream{pool: e.pool, conn: c, reusable: state.Keep, tail: state.Tail, engineKind: engine.Kind, terminators: &e.terminators}
+	s.events.scan(state.Tail)
 	switch state.Form {
 	case "chunks":
 		s.body = &chunkedReader{reader: c.reader, remaining: state.Left, lineBreakDue: state.BreakDue}
 	case "length":
 		s.body = &fixedLengthReader{reader: c.reader, remaining: state.Left}
 	case "close":
-		s.body = c.reader
+		s.body, s.endsByClose = c.reader, true
 	default:
 		return nil, fmt.Errorf("platform: unknown body form %q in a handover message", state.Form)
 	}
@@ -177,7 +178,7 @@
 		if !ok {
 			return nil, fmt.Errorf("unsupported transport %T", t)
 		}
-		return e.adoptStream(ctx, engineSide, handedOver.Engine.Address, handedOver.Body)
+		return e.adoptStream(ctx, engineSide, handedOver.Engine, handedOver.Body)
 	})
 	if err != nil {
 		cancelClient()
--- a/internal/platform/short_answer_test.go
+++ b/internal/platform/short_answer_test.go
@@ -84,3 +84,27 @@
 		}
 	}
 }
+
+// Guards against an answer that stops short behind a hand-over and is ended as whole by the process that has adopted it.
+func TestStream_AdoptedAnswerStoppedShort(t *testing.T) {
+	for _, tt := range []struct {
+		form, before, behind string
+		whole                bool
+	}{
+		{"chunks", firstEvent + openEvent, "0\r\n\r\n", false},
+		{"close", firstEvent, "", false},
+		{"close", firstEvent + openEvent, ":1}\n\n", false},
+		{"close", firstEvent + openEvent, ":1}\n\n" + doneEvent, true},
+		{"chunks", firstEvent + doneEvent, "0\r\n\r\n", true},
+		{"close", firstEvent + doneEvent, "", true},
+	} {
+		engine, answer := openStream(t, bodyState{Form: tt.form, Tail: []byte(tt.before)})
+		go func() {
+			io.WriteString(engine, tt.behind)
+			engine.Close()
+		}()
+		if err := passOn(answer, func(string) {}); errors.Is(err, io.EOF) != tt.whole {
+			t.Errorf("%s: %q before and %q behind the hand-over: ended with %v", tt.form, tt.before, tt.behind, err)
+		}
+	}
+}
--- a/internal/platform/silence_test.go
+++ b/internal/platform/silence_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"ashwood.example/ashwood"
 	"ashwood.example/ashwood/gateway"
 	"ashwood.example/ashwood/internal/clock"
 )
@@ -32,7 +33,7 @@
 	engine, gatewaySide := net.Pipe()
 	live := gateway.HandoverState{ID: "q", Class: "order"}
 	answer, err = g.Adopt(t.Context(), live, func(ctx context.Context, _ gateway.Transport) (gateway.Stream, error) {
-		return engines.adoptStream(ctx, gatewaySide, "w1", state)
+		return engines.adoptStream(ctx, gatewaySide, ashwood.Server{ID: "w1"}, state)
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/platform/stream.go
+++ b/internal/platform/stream.go
@@ -1,12 +1,10 @@
 package platform
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"slices"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -25,26 +23,23 @@
 	buf           [4096]byte
 	firstEvent    []byte // bytes up to the end of the first event, until Next returns them
 	tail          []byte // the last bytes read, for the load report
-	eventEnded    bool   // an event ended in the last piece read
+	events        eventScanner
+	eventEnded    bool // an event ended in the last piece read
+	endsByClose   bool // the body has no framing: it ends with the connection
 	reusable      bool
 	done          bool
+
+	engineKind  string
+	terminators *terminatorRecord
 }
 
 const tailBytes = 512
 
-// eventEnds are the bytes that end an event.
-var eventEnds = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
-
-// endsEvent reports whether an event ends in a piece; before is what came before it.
-func endsEvent(before, piece []byte) bool {
-	return slices.ContainsFunc(eventEnds, func(end []byte) bool {
-		overlap := before[max(len(before)-len(end)+1, 0):]
-		return bytes.Contains(piece, end) || bytes.Contains(slices.Concat(overlap, piece[:min(len(piece), len(end)-1)]), end)
-	})
-}
+// errStoppedShort ends an answer whose framing has ended and that is not whole.
+var errStoppedShort = fmt.Errorf("platform: an answer stopped short: %w", io.ErrUnexpectedEOF) // sent to clients
 
-func (e *Engines) newStream(ctx context.Context, c *engineConn, response *fasthttp.ResponseHeader) *engineStream {
-	stream := &engineStream{pool: e.pool, conn: c, reusable: !response.ConnectionClose()}
+func (e *Engines) newStream(ctx context.Context, c *engineConn, engineKind string, response *fasthttp.ResponseHeader) *engineStream {
+	stream := &engineStream{pool: e.pool, conn: c, reusable: !response.ConnectionClose(), engineKind: engineKind, terminators: &e.terminators}
 	stream.stopInterrupt = c.interruptOnDone(ctx)
 	switch n := response.ContentLength(); {
 	case n == -1:
@@ -52,11 +47,22 @@
 	case n >= 0:
 		stream.body = &fixedLengthReader{reader: c.reader, remaining: n}
 	default:
-		stream.body, stream.reusable = c.reader, false
+		stream.body, stream.endsByClose, stream.reusable = c.reader, true, false
 	}
 	return stream
 }
 
+// isWhole reports whether an answer whose framing has ended is whole: no event is open, and the terminator has come
+// where it is due. The end of a connection alone proves nothing, as an engine that fails closes it too; and an
+// engine of a kind that ends its answers with the terminator ends each of them with it.
+func (s *engineStream) isWhole() bool {
+	terminated := s.events.hasTerminator()
+	if terminated {
+		s.terminators.add(s.engineKind)
+	}
+	return !s.events.eventOpen() && (terminated || !s.endsByClose && !s.terminators.has(s.engineKind))
+}
+
 // fixedLengthReader reads a body with a known length and returns an error if the connection
 // ends earlier.
 type fixedLengthReader struct {
@@ -85,7 +91,7 @@
 			return io.ErrUnexpectedEOF // an answer without any event is no answer
 		case err != nil && !errors.Is(err, io.EOF):
 			return err
-		case err != nil || endsEvent(nil, event):
+		case err != nil || s.eventEnded:
 			s.firstEvent, s.eventEnded = event, true
 			return nil
 		case len(event) > maxChunkSize:
@@ -107,6 +113,9 @@
 	if len(piece) > 0 {
 		return piece, nil // the next call returns the error again
 	}
+	if err == io.EOF && !s.isWhole() {
+		return nil, errStoppedShort
+	}
 	s.done = err == io.EOF
 	return nil, err
 }
@@ -133,7 +142,7 @@
 
 // recordPiece notes whether an event ends in a piece and keeps the end of the stream.
 func (s *engineStream) recordPiece(piece []byte) {
-	s.eventEnded = endsEvent(s.tail, piece)
+	s.eventEnded = s.events.scan(piece)
 	s.tail = append(s.tail, piece...)
 	if extra := len(s.tail) - tailBytes; extra > 0 {
 		s.tail = append(s.tail[:0], s.tail[extra:]...)
