Bound an engine's silence within a head or first event, not their whole time

An order that has run is answered 502; a prefill is repeated until no attempt is left.

Cause: heads, first events and short bodies had 300 ms in all. Also wrong there, by reading: the timer was stopped without waiting for it, so one that fired as the first event ended could cut off the stream behind it.

Why this works: the 300 ms count from the last byte. A silence is cut off as before, so spoilt answers that stop cost no more than they did; how long an attempt lasts in all is bounded by its request's time, and its size as before. A timer of an earlier wait does nothing.

TestSend_EngineWritesHeadSlowly failed before in all four cases (502 after 0.32 s; 503 after 6 attempts) and passes now, as do the tests of the package.

--- a/internal/platform/engines.go
+++ b/internal/platform/engines.go
@@ -15,7 +15,6 @@
 	"strconv"
 	"sync"
 	"syscall"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -40,7 +39,7 @@
 	loadReportPath        = "/-/load"
 	loadReportComment     = ": " + headerLoadReport + ": "
 	maxShortBody          = 64 << 10
-	completionTimeout     = 300.0 // in which a response header, a stream's first event or a short body must be complete once it has begun
+	completionTimeout     = 300.0 // for the next bytes of a response header, a stream's first event or a short body that has begun
 	sweepInterval         = 1000.0
 	defaultConnectTimeout = 250.0
 	defaultIdleTimeout    = 15000.0
@@ -162,14 +161,14 @@
 
 // readHeader reads a response header and skips up to maxInterimResponses 1xx
 // responses before it. Waiting for its first byte has no limit here, but once begun
-// it must be complete within completionTimeout: a malformed one may never end while
-// its connection stays open.
+// bytes must go on coming, within completionTimeout of one another: a malformed one may
+// never end while its connection stays open.
 func (e *Engines) readHeader(c *engineConn, response *fasthttp.ResponseHeader) error {
 	for range maxInterimResponses {
 		if first, err := c.reader.Peek(1); err != nil || first[0] != 'H' {
 			return cmp.Or(err, fmt.Errorf("%w: it begins with %q", errMalformed, first))
 		}
-		stopTimeout := e.startTimeout(c, completionTimeout)
+		stopTimeout := e.limitSilence(c, completionTimeout)
 		err := response.Read(c.reader)
 		stopTimeout()
 		if code := response.StatusCode(); err != nil || code < 100 || code >= 200 {
@@ -182,13 +181,6 @@
 	return fmt.Errorf("%w: no answer behind 1xx", errMalformed)
 }
 
-// startTimeout makes all reads and writes on a connection fail after ms milliseconds
-// unless stop is called earlier. The connection can't be used again after that.
-func (e *Engines) startTimeout(c *engineConn, ms float64) (stop func()) {
-	cancel := e.clock.AfterFunc(ms, func() { c.SetDeadline(time.Unix(1, 0)) })
-	return func() { cancel() }
-}
-
 var errNotReady = errors.New("platform: not to be sent any more") // sent to clients
 
 func newRequestHeader(method, target, addr string) *fasthttp.RequestHeader {
@@ -230,7 +222,7 @@
 	code := response.StatusCode()
 	if code == fasthttp.StatusOK {
 		stream := e.newStream(ctx, c, attempt.Engine.Kind, &response)
-		stopTimeout := e.startTimeout(c, completionTimeout) // the engine sends the header together with the first token
+		stopTimeout := e.limitSilence(c, completionTimeout) // the engine sends the header together with the first token
 		err := stream.readFirstEvent()
 		stopTimeout()
 		if err != nil {
@@ -280,7 +272,7 @@
 // connection to the pool. If the body can't be read, abort ends the connection.
 func (e *Engines) readShortBody(ctx context.Context, c *engineConn, response *fasthttp.ResponseHeader, abort func(*engineConn)) (body []byte, err error) {
 	stopInterrupt := c.interruptOnDone(ctx)
-	stopTimeout := e.startTimeout(c, completionTimeout)
+	stopTimeout := e.limitSilence(c, completionTimeout)
 	defer func() {
 		stopTimeout()
 		switch complete := stopInterrupt() && err == nil; {
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -24,8 +24,9 @@
 	net.Conn
 	reader     *bufio.Reader
 	addr       string
-	idleSince  float64 // ms; 0 = it has not been idle yet
-	reusableAt float64 // ms; not reused before that
+	idleSince  float64       // ms; 0 = it has not been idle yet
+	reusableAt float64       // ms; not reused before that
+	silence    *silenceLimit // nil = how long the engine may be silent has no limit here
 }
 
 // interruptOnDone makes all reads and writes on the connection fail once ctx is done, until
@@ -150,7 +151,9 @@
 	if p.adaptTimeout {
 		p.connectTimeout.Observe(elapsed)
 	}
-	return &engineConn{Conn: netConn, reader: bufio.NewReaderSize(netConn, 4096), addr: addr}, nil
+	c := &engineConn{Conn: netConn, addr: addr}
+	c.reader = bufio.NewReaderSize(c, 4096)
+	return c, nil
 }
 
 // streamReuseDelay is the time in ms that a connection is not reused after a stream. Engines may
