Take a good part of a long event for progress of a begun answer

Cause: the time for the next event counted from the last event's end, whatever was passed on of this one.

Why this works: a piece that fills the buffer of 4 KiB counts as progress, as an event's end does, so an event may take as long as it needs at some 900 bytes a second. Bytes that only trickle still do not prolong the wait (TestStream_EndlessEvent, unchanged), since clients may not be left waiting for 5 s behind an event.

TestStream_LongEventWrittenSlowly failed before (ended with i/o timeout at 10,229 bytes) and passes now.

--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -19,7 +19,7 @@
 
 // watchStall starts a watch for the wait that begins now, at since.
 func (s *stream) watchStall(since float64) *stallWatch {
-	w := &stallWatch{answer: s, since: since, timeout: stallTimeout - s.eventWait, oneEvent: s.eventCount == 1}
+	w := &stallWatch{answer: s, since: since, timeout: stallTimeout - s.eventWait, oneEvent: s.pieceCount == 1}
 	s.progress.advance(since) // the previous piece has just been passed on
 	w.checkAfter(min(stallSuspectAfter, w.timeout))
 	return w
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -19,8 +19,8 @@
 	cancel     context.CancelCauseFunc
 	engine     ashwood.Server
 	progress   *engineProgress // progress of all answers of the engine
-	eventCount int             // received so far
-	eventWait  float64         // ms waited in Next since the last event ended
+	pieceCount int             // pieces received so far that were progress
+	eventWait  float64         // ms waited in Next since the last of them
 	class      string
 	startedAt  float64 // when the request was accepted
 	ended      bool
@@ -37,8 +37,8 @@
 	s.eventWait += s.gateway.clock.Now() - calledAt
 	switch {
 	case err == nil:
-		if s.eventEnded() {
-			s.eventCount, s.eventWait = s.eventCount+1, 0
+		if s.madeProgress() {
+			s.pieceCount, s.eventWait = s.pieceCount+1, 0
 		}
 	case errors.Is(err, io.EOF):
 		s.end(ashwood.StatusServed)
@@ -52,10 +52,10 @@
 	return piece, err
 }
 
-// eventEnded reports whether an event ended in the last piece.
-func (s *stream) eventEnded() bool {
-	events, ok := s.Stream.(EventStream)
-	return !ok || events.EventEnded()
+// madeProgress reports whether the last piece was progress.
+func (s *stream) madeProgress() bool {
+	progress, ok := s.Stream.(ProgressStream)
+	return !ok || progress.MadeProgress()
 }
 
 // HandOver hands the answer over to another process. In this process, it ends as cancelled,
@@ -88,7 +88,7 @@
 	g.log.Debug("adopted", "id", state.ID, "class", state.Class, "engine", state.Engine.ID, "ms", g.clock.Now()-state.StartedAt)
 	return &stream{
 		Stream: inner, gateway: g, clientCtx: ctx, id: state.ID, engine: state.Engine, progress: g.progress.join(state.Engine.ID), cancel: cancel,
-		class: state.Class, startedAt: state.StartedAt, eventCount: 2, eventWait: state.EventWait,
+		class: state.Class, startedAt: state.StartedAt, pieceCount: 2, eventWait: state.EventWait,
 	}, nil
 }
 
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -102,11 +102,11 @@
 	Close() error
 }
 
-// EventStream is a stream whose pieces need not end where an event of the answer ends. Of any other stream,
-// each piece is an event.
-type EventStream interface {
-	// EventEnded reports whether an event ended in the last piece that Next returned.
-	EventEnded() bool
+// ProgressStream is a stream whose pieces need not end where an event of the answer ends. Of any other stream,
+// each piece is progress.
+type ProgressStream interface {
+	// MadeProgress reports whether the last piece that Next returned ended an event, or was a good part of a long one.
+	MadeProgress() bool
 }
 
 // HandoverStream is a stream that another process of the same gateway can take over.
--- a/internal/platform/chunks.go
+++ b/internal/platform/chunks.go
@@ -13,6 +13,7 @@
 // platform's bodies have at most 256 KiB.
 const (
 	maxChunkSize        = 256 << 10
+	maxEventBytes       = 256 << 10
 	maxChunkLine        = 256
 	maxTrailerLines     = 16 // lines after the last chunk
 	maxInterimResponses = 8  // 1xx responses before the final one
