--- a/cmd/ashwood/grpc_test.go
+++ b/cmd/ashwood/grpc_test.go
@@ -97,6 +97,13 @@
 // startGRPCFront starts the program with the gRPC front and one server that acts as prefill and
 // as decode engine, and returns a client connection to the front.
 func startGRPCFront(t *testing.T, engine ashwoodpb.BoxServer, operator string, creds credentials.TransportCredentials) (*exec.Cmd, *grpc.ClientConn) {
+	t.Helper()
+	cmd, conn, _ := startGRPCFrontAt(t, engine, operator, creds)
+	return cmd, conn
+}
+
+// startGRPCFrontAt is startGRPCFront, and returns the front's address too.
+func startGRPCFrontAt(t *testing.T, engine ashwoodpb.BoxServer, operator string, creds credentials.TransportCredentials) (*exec.Cmd, *grpc.ClientConn, string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -123,5 +130,5 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { conn.Close() })
-	return cmd, conn
+	return cmd, conn, front
 }
