--- a/internal/platform/read_ahead.go
+++ b/internal/platform/read_ahead.go
@@ -9,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"ashwood.example/ashwood/internal/sockcall"
 )
 
 // This file reads what clients send while one of their requests runs: that is how a disconnect is
@@ -84,7 +84,7 @@
 	_, err = c.waitNetwork(func() (int, error) {
 		// Read calls the function again whenever more has arrived.
 		return 0, cmp.Or(raw.Read(func(fd uintptr) bool {
-			if isDisconnected(int(fd)) {
+			if sockcall.PeerClosed(int(fd)) {
 				return true
 			}
 			time.Sleep(disconnectCheckPause)
@@ -94,21 +94,6 @@
 	return err
 }
 
-// isDisconnected reports whether the peer of a socket has closed its side or reset the connection.
-func isDisconnected(fd int) bool {
-	const events = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
-	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	for {
-		switch _, err := unix.Poll(poll, 0); {
-		case errors.Is(err, unix.EINTR):
-			continue
-		case err != nil:
-			return false
-		}
-		return poll[0].Revents&events != 0
-	}
-}
-
 // stopWatch ends the watch, so that the connection can be read again.
 func (c *clientConn) stopWatch() {
 	c.mu.Lock()
--- a/internal/sockcall/sockcall.go
+++ b/internal/sockcall/sockcall.go
@@ -1,8 +1,13 @@
 // Package sockcall makes system calls on the file descriptors of sockets that Go's network poller owns.
-// It keeps a descriptor open during a call and knows nothing about the call itself.
+// It keeps a descriptor open during a call and knows nothing about the call itself, but for those that it offers.
 package sockcall
 
-import "syscall"
+import (
+	"errors"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
 
 // Do runs call with a socket's descriptor, which stays open until call returns. It returns the error of call, or the
 // reason why call was not run.
@@ -22,3 +27,19 @@
 	}
 	return callErr
 }
+
+// PeerClosed reports whether the peer of a socket has closed its side or reset the connection. It reads nothing, so bytes
+// that have come before may be unread.
+func PeerClosed(fd int) bool {
+	const events = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	for {
+		switch _, err := unix.Poll(poll, 0); {
+		case errors.Is(err, unix.EINTR):
+			continue
+		case err != nil:
+			return false
+		}
+		return poll[0].Revents&events != 0
+	}
+}
