Bound how fast a gRPC client's calls are read

Cause: the class of the HTTP/1.1 front's fault (a client's work has no bound on its rate) on the other front. A connection's calls were begun as fast as they could be read, each with goroutines, timers and a lock over all calls.

Why this works: the goroutine that reads a connection pauses before it begins the next call. Calls that an engine serves or fails do not count as quick, so a proxy's one connection is read at its speed. What was sent before a close may be read behind it, the more so beside pauses: a call whose client has closed its connection ends at once, and the connection with it.

Frames that belong to no call (window updates) are not counted. A host's own gRPC server has the host's limits.

--- a/cmd/ashwood/fronts.go
+++ b/cmd/ashwood/fronts.go
@@ -8,8 +8,6 @@
 	"log/slog"
 	"net"
 
-	"golang.org/x/net/netutil"
-
 	"ashwood.example/ashwood/internal/clock"
 	"ashwood.example/ashwood/internal/config"
 	"ashwood.example/ashwood/internal/grpcfront"
@@ -117,13 +115,14 @@
 	if err != nil {
 		return front{}, fmt.Errorf("grpc: %w", err)
 	}
-	listener = netutil.LimitListener(listen.RetryAccept(listener, log), int(float64(cfg.Limits.Sockets)*grpcSocketShare))
+	listener = listen.RetryAccept(listener, log)
+	maxConns := int(float64(cfg.Limits.Sockets) * grpcSocketShare)
 	if err := requestRouter.Start(); err != nil {
 		return front{}, err
 	}
 	server := grpcfront.NewServer(signalCheckedRouter{requestRouter, notice}, cfg.Settings, grpcConfig.Credentials, clientMemory(cfg.Limits.MemoryMB, grpcMemoryShare, minGRPCMemoryMB), c, log)
 	return front{
-		name: "grpc", addr: listener.Addr(), serve: func() error { return server.Serve(listener) }, drain: server.Drain, stopAccepting: server.Shutdown,
+		name: "grpc", addr: listener.Addr(), serve: func() error { return server.Serve(listener, maxConns) }, drain: server.Drain, stopAccepting: server.Shutdown,
 		shutdown: func() error {
 			server.Shutdown()
 			return requestRouter.Shutdown(context.Background())
--- a/cmd/ashwood/grpc_flood_test.go
+++ b/cmd/ashwood/grpc_flood_test.go
@@ -1,15 +1,19 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/health/grpc_health_v1"
@@ -20,7 +24,8 @@
 // callsPerFloodClient is how many calls a client of a flood has open on its connection.
 const callsPerFloodClient = 50
 
-// grpcFloods are calls that one client makes on one connection at full speed.
+// grpcFloods are calls that one client makes on one connection at full speed. Without a call, it begins calls and cancels
+// them at once.
 var grpcFloods = []struct {
 	name string
 	call func(ctx context.Context, conn *grpc.ClientConn, n int64)
@@ -34,14 +39,61 @@
 	{"health checks", func(ctx context.Context, conn *grpc.ClientConn, _ int64) {
 		grpc_health_v1.NewHealthClient(conn).Check(ctx, &grpc_health_v1.HealthCheckRequest{})
 	}},
-	{"cancelled calls", func(ctx context.Context, conn *grpc.ClientConn, n int64) {
-		callCtx, cancel := context.WithCancel(ctx)
-		stream, err := conn.NewStream(callCtx, &grpc.StreamDesc{ServerStreams: true}, ashwoodpb.Inference_Generate_FullMethodName)
-		if err == nil {
-			stream.SendMsg(&ashwoodpb.GenerateRequest{RequestId: fmt.Sprint("c", n)})
+	{"calls cancelled at once", nil},
+}
+
+// cancelCalls begins calls and cancels them at once, until stop is closed, on a new connection whenever the gateway closes
+// one. It writes the frames itself: the library's client is too slow for it.
+func cancelCalls(front string, sent *atomic.Int64, stop chan struct{}) {
+	const batch = 20
+	var header bytes.Buffer
+	fields := hpack.NewEncoder(&header)
+	for _, field := range []hpack.HeaderField{
+		{Name: ":method", Value: "POST"}, {Name: ":scheme", Value: "http"}, {Name: ":path", Value: ashwoodpb.Inference_Generate_FullMethodName},
+		{Name: ":authority", Value: "a"}, {Name: "content-type", Value: "application/grpc"}, {Name: "te", Value: "trailers"},
+	} {
+		field.Sensitive = true // not in the table, so that the same bytes serve for each call
+		fields.WriteField(field)
+	}
+	for {
+		c, err := net.Dial("tcp", front)
+		if err != nil {
+			return
 		}
-		cancel()
-	}},
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			io.Copy(io.Discard, c)
+		}()
+		go func() { // a write may be blocked, as the gateway does not read
+			select {
+			case <-stop:
+				c.Close()
+			case <-ended:
+			}
+		}()
+		var frames bytes.Buffer
+		framer := http2.NewFramer(&frames, nil)
+		frames.WriteString(http2.ClientPreface)
+		framer.WriteSettings()
+		for stream := uint32(1); err == nil; {
+			for range batch {
+				framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: header.Bytes(), EndHeaders: true})
+				framer.WriteRSTStream(stream, http2.ErrCodeCancel)
+				stream += 2
+			}
+			sent.Add(batch)
+			_, err = c.Write(frames.Bytes())
+			frames.Reset()
+		}
+		c.Close()
+		<-ended
+		select {
+		case <-stop:
+			return
+		default:
+		}
+	}
 }
 
 // generate makes a call and reads its answer to the end.
@@ -78,6 +130,10 @@
 			flooding.Go(func() { shareCore(cmd.Process, coreShare, stop) })
 			var sent, asked, wrong atomic.Int64
 			for range floodClients {
+				if tt.call == nil {
+					flooding.Go(func() { cancelCalls(front, &sent, stop) })
+					continue
+				}
 				conn := dial()
 				for range callsPerFloodClient {
 					flooding.Go(func() {
--- a/internal/grpcfront/calls.go
+++ b/internal/grpcfront/calls.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
@@ -40,6 +41,7 @@
 	log      *slog.Logger
 	maxBytes int64         // for all processes of this gateway
 	refusal  gateway.Reply // to calls for which there is no memory
+	quick    *rate.Limiter // of calls that end without an engine's work, beyond those of each connection
 
 	mu        sync.Mutex
 	limit     int64                    // bytes, for this process
@@ -53,7 +55,7 @@
 func newCallTracker(maxBytes int64, refusal gateway.Reply, c clock.Clock, log *slog.Logger) *callTracker {
 	t := &callTracker{
 		clock: c, log: log, maxBytes: maxBytes, refusal: refusal, limit: maxBytes,
-		reading: map[*clientConn]struct{}{}, readUntil: math.Inf(1),
+		quick: rate.NewLimiter(quickCallsPerFront, quickCallsPerFront), reading: map[*clientConn]struct{}{}, readUntil: math.Inf(1),
 	}
 	t.callEnded.L = &t.mu
 	return t
@@ -112,6 +114,7 @@
 	stopTimer func() bool
 	err       error // the final status of an evicted call
 	held      int64 // bytes of memory counted for this call alone
+	worked    bool  // an engine has worked on it
 }
 
 type callKey struct{}
@@ -133,7 +136,12 @@
 	if !ok {
 		return ctx, nil
 	}
+	present := t.awaitPace(addr.conn)
 	call := &clientCall{tracker: t, conn: addr.conn, evicted: make(chan struct{}), startedAt: t.clock.Now(), held: callOverhead}
+	if !present {
+		call.rejectAbsent()
+		return context.WithValue(ctx, callKey{}, call), nil
+	}
 	context.AfterFunc(ctx, call.end)
 	ctx = context.WithValue(ctx, callKey{}, call)
 	if info.FullMethodName != ashwoodpb.Inference_Generate_FullMethodName {
@@ -149,6 +157,15 @@
 	return ctx, nil
 }
 
+// rejectAbsent ends a call whose client has closed its connection, and the connection: the calls that are still to be
+// read from it would begin for nobody.
+func (call *clientCall) rejectAbsent() {
+	call.err = status.Error(codes.Canceled, "the client has closed its connection")
+	close(call.evicted)
+	// An error means that it is closed already.
+	_ = call.conn.Conn.Close()
+}
+
 // startReadTimer starts the timer that ends a call whose request does not become complete. The caller holds t.mu.
 func (t *callTracker) startReadTimer(call *clientCall) {
 	deadline := min(call.startedAt+readTimeout, t.readUntil)
@@ -231,11 +248,21 @@
 	return nil
 }
 
+// recordWork records that an engine has worked on a call.
+func (call *clientCall) recordWork() {
+	call.tracker.mu.Lock()
+	defer call.tracker.mu.Unlock()
+	call.worked = true
+}
+
 // end stops tracking a call.
 func (call *clientCall) end() {
 	t := call.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !call.worked {
+		t.countQuickCall(call.conn)
+	}
 	if call.err != nil {
 		t.evicting -= call.held
 		t.callEnded.Broadcast()
--- a/internal/grpcfront/clientconn.go
+++ b/internal/grpcfront/clientconn.go
@@ -1,6 +1,12 @@
 package grpcfront
 
-import "net"
+import (
+	"errors"
+	"net"
+	"syscall"
+
+	"ashwood.example/ashwood/internal/sockcall"
+)
 
 // clientConn is a client's connection, whose received bytes are counted while it has unfinished calls.
 type clientConn struct {
@@ -10,6 +16,7 @@
 	// Guarded by tracker.mu:
 	unfinished map[*clientCall]struct{}
 	received   int64 // bytes for its unfinished calls
+	pace       connPace
 }
 
 // connAddr is the remote address of a clientConn. The library passes it to the calls on the connection.
@@ -28,6 +35,20 @@
 	return n, err
 }
 
+// peerClosed reports whether the client has closed its side or reset the connection, whatever it has sent before; false
+// where that can't be determined.
+func (c *clientConn) peerClosed() (closed bool) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	err := sockcall.Do(socket, func(fd int) error {
+		closed = sockcall.PeerClosed(fd)
+		return nil
+	})
+	return closed || errors.Is(err, net.ErrClosed)
+}
+
 // trackedListener returns its connections as *clientConn.
 type trackedListener struct {
 	net.Listener
@@ -39,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{Conn: c, tracker: l.tracker, unfinished: map[*clientCall]struct{}{}}, nil
+	return &clientConn{Conn: c, tracker: l.tracker, unfinished: map[*clientCall]struct{}{}, pace: newConnPace()}, nil
 }
 
 // memory returns the bytes counted for a connection's unfinished calls.
--- a/internal/grpcfront/harness_test.go
+++ b/internal/grpcfront/harness_test.go
@@ -216,7 +216,7 @@
 	f.front = NewServer(gw, testSettings(), insecure.NewCredentials(), testMemory, c, log)
 	l := listen(t)
 	f.addr = l.Addr()
-	go f.front.Serve(l)
+	go f.front.Serve(l, 0)
 	t.Cleanup(f.front.grpc.Stop)
 	cc, err := grpc.NewClient("passthrough:///"+l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry())
 	if err != nil {
--- a/internal/grpcfront/panic_test.go
+++ b/internal/grpcfront/panic_test.go
@@ -28,7 +28,7 @@
 func TestPanic_Handler(t *testing.T) {
 	front := NewServer(panickingHandler{}, testSettings(), insecure.NewCredentials(), testMemory, clock.System(), slog.New(slog.DiscardHandler))
 	l := listen(t)
-	go front.Serve(l)
+	go front.Serve(l, 0)
 	t.Cleanup(front.grpc.Stop)
 	cc, err := grpc.NewClient("passthrough:///"+l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry())
 	if err != nil {
--- a/internal/grpcfront/server.go
+++ b/internal/grpcfront/server.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"time"
 
+	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
@@ -116,8 +117,14 @@
 	return m, func() []byte { return m.ProtoReflect().GetUnknown() }
 }
 
-// Serve serves calls on a listener until Shutdown.
-func (s *Server) Serve(l net.Listener) error { return s.grpc.Serve(trackedListener{l, s.calls}) }
+// Serve serves calls on a listener until Shutdown, from at most maxConns connections at once; 0 means no limit.
+func (s *Server) Serve(l net.Listener, maxConns int) error {
+	l = trackedListener{l, s.calls}
+	if maxConns > 0 {
+		l = netutil.LimitListener(l, maxConns)
+	}
+	return s.grpc.Serve(l)
+}
 
 // SetProcesses sets the number of processes among which the memory for calls is divided.
 func (s *Server) SetProcesses(processes int) { s.calls.setProcesses(processes) }
@@ -155,6 +162,9 @@
 	case err != nil:
 		return status.Error(codes.InvalidArgument, err.Error())
 	}
+	if call := callOf(serverStream.Context()); call != nil && (reply.Kind == gateway.Served || reply.Kind == gateway.Failed) {
+		call.recordWork()
+	}
 	switch reply.Kind {
 	case gateway.Served:
 		return s.relayStream(serverStream, reply.Stream)
