See a client's close behind more than the gateway reads ahead

Cause: up to 1 MiB is read ahead beside a request; behind that the socket was only asked for the close. With more than its receive buffer holds, the close stays at the client's machine: 1.7 MB lay unread, and 3.4 MB behind them. Class: a question asked where the answer cannot arrive.

Why this works: once more than 32 KiB wait in the kernel beyond what may be read ahead, all that comes is read and dropped, so the close arrives. No further request is taken from that connection, and it is closed behind the answer of the one that runs; clients send one request at a time, so only one that sends without end meets this. A request that was sent ahead of a close that has arrived does not begin: the socket is asked once before.

The tests of platform and middleware pass.

--- a/internal/platform/closing.go
+++ b/internal/platform/closing.go
@@ -7,8 +7,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"ashwood.example/ashwood/internal/sockcall"
 )
 
@@ -197,7 +195,7 @@
 	}
 	count := 0
 	err := sockcall.Do(socket, func(fd int) (err error) {
-		count, err = unix.IoctlGetInt(fd, unix.TIOCINQ)
+		count, err = sockcall.UnreadBytes(fd)
 		return err
 	})
 	return err == nil && count > 0
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -299,6 +299,7 @@
 
 	mu             sync.Mutex
 	readAhead      []byte
+	aheadDropped   bool          // more was sent ahead than may be kept
 	countedAhead   atomic.Int64  // bytes of readAhead as counted in listener.memory
 	watchDone      chan struct{} // closed when the watch has ended; nil without a watch
 	readInProgress bool          // a goroutine is reading from the network
--- a/internal/platform/handover.go
+++ b/internal/platform/handover.go
@@ -119,7 +119,7 @@
 		return false
 	}
 	b.conn.stopWatch()
-	if len(b.conn.readAhead) > maxReadAhead { // more than a message has room for
+	if len(b.conn.readAhead) > maxReadAhead || b.conn.hasDroppedAhead() { // more than a message has room for
 		b.canHandOver = false
 		b.conn.watchDisconnect(b.cancelClient)
 		return false
--- a/internal/platform/read_ahead.go
+++ b/internal/platform/read_ahead.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -20,18 +19,29 @@
 const (
 	maxReadAhead         = 16 << 10 // bytes that any connection may hold; a handover message has room for as many
 	maxReadAheadExtended = 1 << 20  // while the listener's memory allows: a few requests of the largest size
+	// maxUnread is how many bytes beyond that may wait in the kernel: its receive buffer has room for them and a close behind.
+	maxUnread = 32 << 10
+	// What a client has sent and closed behind fits into the buffers of both machines, and is dropped at full speed. Of more than
+	// maxDroppedAtSpeed bytes, droppedPerPause are dropped in each disconnectCheckPause.
+	maxDroppedAtSpeed = 16 << 20
+	droppedPerPause   = 64 << 10
+	dropBuffer        = 16 << 10 // bytes
 	// disconnectCheckPause bounds what it costs to check a connection on which bytes keep arriving.
 	disconnectCheckPause = 5 * time.Millisecond
 )
 
 // watchDisconnect calls onDisconnect once if the client closes its side before stopWatch. Pipelined
-// requests do not hide the close, unless they are more than maxReadAheadExtended and the kernel's receive buffer hold.
+// requests do not hide the close: if they are more than may be read ahead and maxUnread, they are dropped, and the
+// connection is closed behind the request that runs.
 func (c *clientConn) watchDisconnect(onDisconnect func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.writeClosed {
 		return
 	}
+	if c.peerClosed() { // before the request begins: it may have been sent ahead of the close
+		onDisconnect()
+	}
 	c.Conn.SetReadDeadline(time.Time{})
 	done := make(chan struct{})
 	c.watchDone = done
@@ -41,6 +51,9 @@
 		if err == nil {
 			err = c.awaitDisconnect()
 		}
+		if err == nil {
+			err = c.dropReadAhead()
+		}
 		netErr, ok := err.(net.Error)
 		stopped := ok && netErr.Timeout() // by stopWatch
 		if !stopped && !errors.Is(err, errors.ErrUnsupported) {
@@ -71,7 +84,8 @@
 }
 
 // awaitDisconnect waits until the client has closed its side or reset the connection, without reading what it
-// has sent before. It always returns an error: io.EOF then, or the one that ended the wait.
+// has sent before, and returns io.EOF then, or the error that ended the wait. It returns nil once so much is unread that
+// a close could not arrive behind it.
 func (c *clientConn) awaitDisconnect() error {
 	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
@@ -81,19 +95,68 @@
 	if err != nil {
 		return err
 	}
+	closed := false
 	_, err = c.waitNetwork(func() (int, error) {
 		// Read calls the function again whenever more has arrived.
-		return 0, cmp.Or(raw.Read(func(fd uintptr) bool {
-			if sockcall.PeerClosed(int(fd)) {
+		return 0, raw.Read(func(fd uintptr) bool {
+			if closed = sockcall.PeerClosed(int(fd)); closed {
+				return true
+			}
+			if unread, err := sockcall.UnreadBytes(int(fd)); err == nil && unread > maxUnread {
 				return true
 			}
 			time.Sleep(disconnectCheckPause)
 			return false
-		}), io.EOF)
+		})
 	})
+	if err == nil && closed {
+		return io.EOF
+	}
 	return err
 }
 
+// peerClosed reports whether the client has closed its side or reset the connection; false where that can't be determined.
+func (c *clientConn) peerClosed() (closed bool) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	err := sockcall.Do(socket, func(fd int) error {
+		closed = sockcall.PeerClosed(fd)
+		return nil
+	})
+	return err == nil && closed
+}
+
+// dropReadAhead reads what the client sends and drops it, until the client has closed its side or reset the connection. No
+// request can be read from the connection any more. It always returns an error.
+func (c *clientConn) dropReadAhead() error {
+	c.mu.Lock()
+	c.aheadDropped = true
+	c.readAhead = nil
+	c.countReadAhead()
+	c.mu.Unlock()
+	var buffer [dropBuffer]byte
+	for dropped, paused := 0, 0; ; {
+		n, err := c.readNetwork(buffer[:])
+		if err != nil {
+			return err
+		}
+		dropped += n
+		if dropped-paused > maxDroppedAtSpeed { // it is more than a client can have sent before it closed
+			time.Sleep(disconnectCheckPause)
+			paused += droppedPerPause
+		}
+	}
+}
+
+// hasDroppedAhead reports whether a part of what the client has sent ahead was dropped, so that the connection is to be closed.
+func (c *clientConn) hasDroppedAhead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.aheadDropped
+}
+
 // stopWatch ends the watch, so that the connection can be read again.
 func (c *clientConn) stopWatch() {
 	c.mu.Lock()
@@ -117,6 +180,10 @@
 		}
 	}
 	c.mu.Lock()
+	if c.aheadDropped {
+		c.mu.Unlock()
+		return 0, io.EOF
+	}
 	n := copy(p, c.readAhead)
 	c.usedReadAhead = c.usedReadAhead || n > 0
 	c.readAhead = c.readAhead[n:]
@@ -137,9 +204,9 @@
 // whether the client has pipelined another request, which must be answered too.
 func (c *clientConn) checkPipelined() {
 	c.mu.Lock()
-	pipelined := len(c.readAhead)
+	pipelined := len(c.readAhead) > 0 || c.aheadDropped
 	c.mu.Unlock()
-	c.pipelinedUnanswered.Store(pipelined > 0 || c.parsedLengthKnown && c.bytesRead > c.bytesParsed)
+	c.pipelinedUnanswered.Store(pipelined || c.parsedLengthKnown && c.bytesRead > c.bytesParsed)
 }
 
 // isPipelined reports whether at least part of the request that has just been read arrived before the
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -236,7 +236,7 @@
 	logRequestRead(conn, ctx, req)
 	admitted := true
 	if conn != nil {
-		admitted = conn.beginRequest()
+		admitted = conn.beginRequest() && !conn.hasDroppedAhead()
 		conn.watchDisconnect(cancelClient)
 	}
 	endRequest := func() {
@@ -291,9 +291,10 @@
 }
 
 // limitQuickAnswers closes the connection with an answer without an engine's work if it, or all connections together,
-// have had too many of these. conn is nil where the host's listener is not wrapped.
+// have had too many of these, or if no further request can be read from it. conn is nil where the host's listener is not
+// wrapped.
 func limitQuickAnswers(ctx *fasthttp.RequestCtx, conn *clientConn) {
-	if conn != nil && !conn.mayKeepAfterQuickAnswer() {
+	if conn != nil && (conn.hasDroppedAhead() || !conn.mayKeepAfterQuickAnswer()) {
 		ctx.SetConnectionClose()
 	}
 }
--- a/internal/sockcall/sockcall.go
+++ b/internal/sockcall/sockcall.go
@@ -43,3 +43,6 @@
 		return poll[0].Revents&events != 0
 	}
 }
+
+// UnreadBytes returns the number of bytes that have arrived on a socket and have not been read.
+func UnreadBytes(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.TIOCINQ) }
