Refuse an order that comes again with the id of one that may have run

Cause: an id was known only while its request was under way. Class: a proof that is forgotten with its request. Both fronts had it, as they share the router.

Why this works: the router remembers the ids of requests of classes with effects that may have run, by the same statuses by which it decides that a request must not be sent again, for two minutes and 16,384 ids at most. Such an id is answered 409 (ALREADY_EXISTS over gRPC), which no usual client repeats. What has not run, and pure classes, may come again. A new process does not know the ids of the one before it.

--- a/facade.go
+++ b/facade.go
@@ -20,7 +20,7 @@
 // Errors that Pick returns.
 var (
 	ErrUnknownClass = errors.New("ashwood: unknown class of requests")
-	ErrDuplicate    = errors.New("ashwood: a request of this id is being served")
+	ErrDuplicate    = errors.New("ashwood: a request of this id is being served, or may have run")
 )
 
 // RequestInfo is what the decisions need to know about a request.
@@ -83,6 +83,7 @@
 	mu        sync.Mutex
 	scheduler *Scheduler
 	flights   map[RequestID]*flight
+	ran       ranRecord // requests that may have had an effect and have ended
 	timers    timerHeap
 	wake      chan struct{}
 }
@@ -177,7 +178,7 @@
 	switch {
 	case r.scheduler.classes[info.Class] == nil:
 		return nil, fmt.Errorf("%w: %q", ErrUnknownClass, info.Class)
-	case r.flights[info.ID] != nil:
+	case r.flights[info.ID] != nil, r.ran.contains(info.ID, r.clock.Now()):
 		return nil, fmt.Errorf("%w: %q", ErrDuplicate, info.ID)
 	}
 	flight := &flight{ctx: ctx, changed: make(chan struct{}, 1)}
@@ -214,6 +215,7 @@
 	flight.inFlight--
 	flight.cancels[attempt]()
 	flight.done = flight.done || result.Status == StatusServed
+	flight.mayHaveRun = flight.mayHaveRun || r.mayHaveEffect(id, attempt) && !provesNotRun(result.Status)
 	r.handle(Outcome{
 		ID: id, Attempt: attempt, Server: r.attemptServer(id, attempt), Status: result.Status,
 		RequestDone: flight.done, Detail: result.Detail, Latency: duration(r.clock.Now() - flight.sentAt[attempt]), Report: result.Report,
--- a/flight.go
+++ b/flight.go
@@ -14,7 +14,8 @@
 	reserveNext    Server        // decode server to ask for a reservation while a prefill is in flight
 	releasePending bool
 	done           bool
-	inFlight       int // attempts
+	mayHaveRun     bool // with an effect, so that it must not run again
+	inFlight       int  // attempts
 	sentAt         []float64
 	cancels        []context.CancelFunc
 }
@@ -50,11 +51,26 @@
 	step.Release = flight.releasePending
 	flight.nextStep, flight.releasePending = Step{}, false
 	if flight.done && flight.inFlight == 0 {
-		delete(r.flights, id)
+		r.removeFlight(id, flight)
 	}
 	return step
 }
 
+// removeFlight forgets a flight that has ended, but for the id of one that must not run again.
+func (r *Router) removeFlight(id RequestID, flight *flight) {
+	delete(r.flights, id)
+	if flight.mayHaveRun {
+		r.ran.add(id, r.clock.Now())
+	}
+}
+
+// mayHaveEffect reports whether an attempt may have an effect: it was at a server that answers, for a class that is not
+// to be run twice.
+func (r *Router) mayHaveEffect(id RequestID, attempt int) bool {
+	request := r.scheduler.requests[id]
+	return request != nil && attempt < len(request.attempts) && request.attempts[attempt].decodes && request.class.Effect != Pure
+}
+
 // checkDisconnect reports to the scheduler if a request's client has left. A step that has
 // not been taken is dropped.
 func (r *Router) checkDisconnect(id RequestID, flight *flight) {
--- a/outcomes.go
+++ b/outcomes.go
@@ -95,10 +95,14 @@
 	}
 }
 
+// provesNotRun reports whether a status proves that an attempt has had no effect.
+func provesNotRun(status Status) bool {
+	return slices.Contains([]Status{StatusRejected, StatusNotSent, StatusConnectFailed, StatusPrefilled}, status)
+}
+
 // recordOutcome records what an outcome says about its server and its request.
 func (s *Scheduler) recordOutcome(request *trackedRequest, attempt *trackedAttempt, e Outcome) {
-	neverRan := []Status{StatusRejected, StatusNotSent, StatusConnectFailed, StatusPrefilled}
-	if attempt.decodes && request.firstRun == nil && !slices.Contains(neverRan, e.Status) {
+	if attempt.decodes && request.firstRun == nil && !provesNotRun(e.Status) {
 		request.firstRun = attempt
 	}
 	switch e.Status {
--- /dev/null
+++ b/ran_record.go
@@ -0,0 +1,41 @@
+package ashwood
+
+// ranRecord remembers the ids of requests that may have had an effect, for some time after their end: a client may
+// send such a request again, and it must not run twice. Its memory is bounded, whatever ids clients make up.
+type ranRecord struct {
+	endedAt map[RequestID]float64 // ms of the clock
+	ended   []endedRequest        // the oldest first
+}
+
+type endedRequest struct {
+	id RequestID
+	at float64 // ms of the clock
+}
+
+const (
+	// ranRetention is how many ms an id is remembered. Clients that come again do so within the time that they wait.
+	ranRetention = 120e3
+	// maxRanIDs bounds the ids; beyond it the oldest is forgotten.
+	maxRanIDs = 16384
+)
+
+// add remembers an id at a time, and forgets those that are too old.
+func (r *ranRecord) add(id RequestID, now float64) {
+	if r.endedAt == nil {
+		r.endedAt = map[RequestID]float64{}
+	}
+	r.endedAt[id] = now
+	r.ended = append(r.ended, endedRequest{id, now})
+	for len(r.ended) > maxRanIDs || now-r.ended[0].at > ranRetention {
+		if oldest := r.ended[0]; r.endedAt[oldest.id] == oldest.at {
+			delete(r.endedAt, oldest.id)
+		}
+		r.ended = r.ended[1:]
+	}
+}
+
+// contains reports whether an id is remembered at a time.
+func (r *ranRecord) contains(id RequestID, now float64) bool {
+	at, ok := r.endedAt[id]
+	return ok && now-at <= ranRetention
+}
