Bound the lines of a request's head before it is parsed

Cause: a head has 4 KiB, but the library needs some 100 bytes for each field, kept for as long as the request: 930 fields of four bytes are some 100 KB on each of 115 connections. Class: a bound on bytes where the cost goes by number.

Why this works: a connection's bytes are looked at before the library sees them, and a head of over 256 lines ends with 431 and the connection's close; a head that came together with the request before it is looked at once it is parsed. Usual requests have some ten fields.

--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -295,6 +295,7 @@
 	parsedLengthKnown      bool // bytesParsed is exact; it is not after a chunked body, whose length on the wire is unknown
 	usedReadAhead          bool // part of the next request was read while an answer was in flight
 	answerEnded            bool
+	head                   headLines     // of the request that is being read
 	quickAnswers           *rate.Limiter // nil before the first answer without an engine's work
 
 	mu             sync.Mutex
@@ -344,6 +345,7 @@
 // awaitNextRequest records that the next request is being read: the previous answer has been written.
 func (c *clientConn) awaitNextRequest() {
 	c.answerEnded = false
+	c.head = headLines{}
 	c.pipelinedUnanswered.Store(false)
 	c.mu.Lock()
 	c.requestStarted.Store(len(c.readAhead) > 0)
--- a/internal/platform/read_ahead.go
+++ b/internal/platform/read_ahead.go
@@ -197,6 +197,9 @@
 	}
 	c.recordRead()
 	c.bytesRead += n
+	if c.head.read(p[:n]) {
+		return 0, errTooManyFields
+	}
 	return n, nil
 }
 
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -141,7 +141,7 @@
 		s.log.Debug("request was not complete in time", "why", "slow")
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		code = fasthttp.StatusRequestEntityTooLarge
-	case errors.As(err, &smallBuffer):
+	case errors.As(err, &smallBuffer), errors.Is(err, errTooManyFields):
 		code = fasthttp.StatusRequestHeaderFieldsTooLarge
 	}
 	ctx.Error(err.Error(), code)
@@ -155,6 +155,10 @@
 		}
 	}()
 	conn, ownListener := ctx.Conn().(*clientConn)
+	if hasTooManyFields(&ctx.Request.Header) {
+		rejectRequest(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, errTooManyFields)
+		return
+	}
 	lease, ok := s.readBody(ctx)
 	if !ok {
 		return
