Expect the last event of an answer from the first answer on

After each start of a process that is one answer of each kind.

Cause: the end that an answer must bring ([DONE]) was expected only once an engine of the kind had brought it.

One answer with it is enough for it to be due again. Bodies without a framing need it in any case.

TestStream_StoppedShortIsNoWholeAnswer no longer has a whole answer first, which makes it stricter: before, that fails for the three ways that end between two events by their framing. TestTerminatorRecord_Due tells when it is due.

--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -206,7 +206,7 @@
 		{"reset", "\x00", 502, 1},
 		{"broken before the first event", streamHead + "\x00", 502, 1},
 		{"broken within the first event", streamHead + encodeChunk("data: {\"a\"") + "\x00", 502, 1},
-		{"first event in pieces", streamHead + encodeChunk("data: {\"a\"") + encodeChunk(":1}\n") + encodeChunk("\n") + "0\r\n\r\n", 200, 1},
+		{"first event in pieces", streamHead + encodeChunk("data: {\"a\"") + encodeChunk(":1}\n") + encodeChunk("\n") + encodeChunk(doneEvent) + "0\r\n\r\n", 200, 1},
 		{"answer without a blank line", streamHead + encodeChunk("data: [DONE]") + "0\r\n\r\n", 200, 1},
 	}
 	for _, tt := range tests {
--- a/internal/platform/short_answer_test.go
+++ b/internal/platform/short_answer_test.go
@@ -39,19 +39,8 @@
 		{"HTTP/1.0, closed without the last event", http10 + two + "\x00"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			whole := true // the engine's first answer is, which shows how its answers end
-			script := scriptDecode(func(engineRequest) string {
-				if whole {
-					return fullStream()
-				}
-				return tt.answer
-			})
-			c := startAndDial(t, scriptedEngine(t, "r1", "reader", scriptPrefill), scriptedEngine(t, "w1", "writer", script))
-			if r, body, err := roundTrip(t, c, requestText("order", "", "{}")); r.StatusCode != 200 || body != firstEvent+lastEvents || err != nil {
-				t.Fatalf("a whole answer: %s, %q, %v", r.Status, body, err)
-			}
-			whole = false
-			r, body, err := roundTrip(t, c, withID(requestText("order", "", "{}"), "second"))
+			c := startAndDial(t, scriptedEngine(t, "r1", "reader", scriptPrefill), scriptedEngine(t, "w1", "writer", scriptDecode(func(engineRequest) string { return tt.answer })))
+			r, body, err := roundTrip(t, c, requestText("order", "", "{}"))
 			if r.StatusCode != 200 || !strings.HasPrefix(body, firstEvent) || !errors.Is(err, io.ErrUnexpectedEOF) {
 				t.Errorf("%s, %q, ended with %v", r.Status, body, err)
 			}
@@ -59,6 +48,23 @@
 	}
 }
 
+// Engines that never write the terminator are served once that is known; one answer with it is enough for it to be due.
+func TestTerminatorRecord_Due(t *testing.T) {
+	var record terminatorRecord
+	for n, tt := range []struct {
+		kind       string
+		terminated bool
+		due        bool
+	}{
+		{"plain", false, true}, {"plain", false, true}, {"plain", false, true}, {"plain", false, false}, {"plain", false, false},
+		{"other", false, true}, {"plain", true, true}, {"plain", false, true},
+	} {
+		if due := record.record(tt.kind, tt.terminated); due != tt.due {
+			t.Errorf("answer %d, of kind %s: the terminator is due: %v, want %v", n, tt.kind, due, tt.due)
+		}
+	}
+}
+
 // Guards against a whole answer that is taken for one that has stopped short.
 func TestStream_WholeAnswerInAnyForm(t *testing.T) {
 	for _, events := range []string{
--- a/internal/platform/silence_test.go
+++ b/internal/platform/silence_test.go
@@ -133,7 +133,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		engine, answer := openStream(t, bodyState{Form: "chunks"})
 		go func() {
-			for _, b := range []byte(strings.Repeat(encodeChunk(firstEvent), events) + "0\r\n\r\n") {
+			for _, b := range []byte(strings.Repeat(encodeChunk(firstEvent), events) + encodeChunk(doneEvent) + "0\r\n\r\n") {
 				engine.Write([]byte{b})
 			}
 		}()
@@ -141,8 +141,8 @@
 		if err := passOn(answer, func(piece string) { pieces = append(pieces, piece) }); !errors.Is(err, io.EOF) {
 			t.Error(err)
 		}
-		if len(pieces) != events || strings.Join(pieces, "") != strings.Repeat(firstEvent, events) {
-			t.Errorf("%d pieces for %d events: %q", len(pieces), events, pieces)
+		if len(pieces) != events+1 || strings.Join(pieces, "") != strings.Repeat(firstEvent, events)+doneEvent {
+			t.Errorf("%d pieces for %d events: %q", len(pieces), events+1, pieces)
 		}
 	})
 }
--- a/internal/platform/stream.go
+++ b/internal/platform/stream.go
@@ -55,14 +55,14 @@
 }
 
 // isWhole reports whether an answer whose framing has ended is whole: no event is open, and the terminator has come
-// where it is due. The end of a connection alone proves nothing, as an engine that fails closes it too; and an
-// engine of a kind that ends its answers with the terminator ends each of them with it.
+// where it is due. The end of a connection alone proves nothing, as an engine that fails closes it too.
 func (s *engineStream) isWhole() bool {
-	terminated := s.events.hasTerminator()
-	if terminated {
-		s.terminators.add(s.engineKind)
+	if s.events.eventOpen() {
+		return false
 	}
-	return !s.events.eventOpen() && (terminated || !s.endsByClose && !s.terminators.has(s.engineKind))
+	terminated := s.events.hasTerminator()
+	due := s.terminators.record(s.engineKind, terminated)
+	return terminated || !due && !s.endsByClose
 }
 
 // fixedLengthReader reads a body with a known length and returns an error if the connection
