Soak: clients that flood gateways, and engines that end answers before they are whole

The checker: a line that the stream broke within is a break and no longer an event that nobody wrote; ended by the last chunk it still is.

--- a/cmd/ashlab/soak.go
+++ b/cmd/ashlab/soak.go
@@ -15,7 +15,7 @@
 	var first uint64
 	var seeds, parallel int
 	var length time.Duration
-	var script, silence, termination bool
+	var script, silence, termination, flood bool
 	options := soak.Options{LogLevel: "debug"}
 	cmd := &cobra.Command{
 		Use: "soak", Args: cobra.NoArgs, Short: "Play scenarios of overlapping faults on real processes, one for each seed",
@@ -46,6 +46,8 @@
 							faultScenario = soak.GenerateSilence(seed, length)
 						case termination:
 							faultScenario = soak.GenerateTermination(seed, length)
+						case flood:
+							faultScenario = soak.GenerateFlood(seed, length)
 						}
 						if options.Logs != "" {
 							playOptions.Logs = filepath.Join(options.Logs, fmt.Sprint(seed))
@@ -89,7 +91,8 @@
 	cmd.Flags().DurationVar(&length, "length", 8*time.Second, "time for which clients send requests")
 	cmd.Flags().BoolVar(&silence, "silence", false, "scenarios in which all engines fall silent and come back one by one")
 	cmd.Flags().BoolVar(&termination, "ending", false, "scenarios in which gateways get SIGTERM and are paused around it")
-	cmd.MarkFlagsMutuallyExclusive("silence", "ending")
+	cmd.Flags().BoolVar(&flood, "flood", false, "scenarios in which clients send unsound requests at full speed and engines stop short")
+	cmd.MarkFlagsMutuallyExclusive("silence", "ending", "flood")
 	cmd.Flags().BoolVar(&script, "script", false, "print the script of every scenario")
 	cmd.Flags().StringVar(&options.Program, "program", "", "daemon to start; default: ashwood in this program's folder")
 	cmd.Flags().StringVar(&options.Logs, "logs", "", "folder for the gateways' logs, with a folder for each seed")
--- a/lab/soak/checker_attempts.go
+++ b/lab/soak/checker_attempts.go
@@ -93,6 +93,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r := c.requests[id]; r != nil && r.attempts[len(r.attempts)-1] == a {
-		r.streamClosed = true
+		r.streamClosed = a
 	}
 }
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -71,6 +71,10 @@
 // run sends requests until ctx ends.
 func (c *client) run(ctx context.Context) {
 	defer c.closeConnection()
+	if c.kind == ClientFloods {
+		c.flood(ctx)
+		return
+	}
 	for ctx.Err() == nil {
 		if c.kind == ClientSilent {
 			c.holdSilentConnection(ctx)
@@ -332,6 +336,9 @@
 		}
 		var e event
 		if json.Unmarshal([]byte(data), &e) != nil || e.ID != id || e.N != next {
+			if !lines.Scan() && lines.Err() != nil {
+				break // the stream broke within this event
+			}
 			return fmt.Sprintf("received an event that no engine wrote for it: %.80q", data)
 		}
 		eventWrittenAt := c.testbed.start.Add(time.Duration(e.At))
--- a/lab/soak/engine.go
+++ b/lab/soak/engine.go
@@ -56,6 +56,7 @@
 	resets      int           // active faults that reset attempts
 	loses       int           // active faults that lose answers
 	answerDelay time.Duration
+	stopsShort  float64 // share of answers that it ends before they are whole
 	draining    bool
 	inFlight    int
 }
@@ -338,8 +339,19 @@
 func (c *call) stream(ctx context.Context, w http.ResponseWriter) {
 	e := c.engine
 	n := minTokens + e.extraTokens()
+	short := e.drawShortStop(n)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if short.withoutFraming {
+		w.Header().Set("Transfer-Encoding", "identity") // the end of the connection is the end of the body
+	}
 	for i := range n {
+		if short.stops && i == short.after {
+			c.end("ends its answer before it is whole", false)
+			if short.withinEvent {
+				_, _ = fmt.Fprintf(w, "data: {\"id\":%q", c.id) // the caller may have closed the connection
+			}
+			return
+		}
 		if i > 0 && !e.work(ctx, tokenInterval) || c.engineCrashed() {
 			c.streamCut(i)
 			abort()
@@ -356,6 +368,24 @@
 	_, _ = fmt.Fprintf(w, ": %s: %s\n\ndata: [DONE]\n\n", headerReport, e.report()) // the caller may have closed the connection
 }
 
+// shortStop says whether and how an engine ends an answer before it is whole.
+type shortStop struct {
+	stops          bool
+	after          int  // events
+	withinEvent    bool // the last one is begun and not finished
+	withoutFraming bool // the body ends with the connection
+}
+
+// drawShortStop draws whether and how the engine stops short in an answer of n events.
+func (e *engine) drawShortStop(n int) shortStop {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stopsShort == 0 || e.rng.Float64() >= e.stopsShort {
+		return shortStop{}
+	}
+	return shortStop{stops: true, after: 1 + e.rng.IntN(n-1), withinEvent: e.rng.IntN(2) == 0, withoutFraming: e.rng.IntN(2) == 0}
+}
+
 // streamCut records that the caller closed a stream in the middle, or that the engine crashed or reset it.
 func (c *call) streamCut(events int) {
 	event := "its stream is closed by the gateway"
--- a/lab/soak/events.go
+++ b/lab/soak/events.go
@@ -222,6 +222,8 @@
 		e.resets += delta
 	case EngineLosesAnswers:
 		e.loses += delta
+	case EngineStopsShort:
+		e.stopsShort += float64(delta) * event.Share
 	case EngineAnswersLate:
 		e.answerDelay += time.Duration(delta) * event.Delay
 	}
