--- a/internal/grpcfront/pace.go
+++ b/internal/grpcfront/pace.go
@@ -11,8 +11,6 @@
 // many of them, no further call is read from it.
 
 const (
-	// callsPerSecond and callsAtOnce bound how fast the calls of one connection begin, of whatever kind.
-	callsPerSecond, callsAtOnce = 1000, 64
 	// quickCallsPerConn is how many calls a second may end without an engine's work on any connection, and as many at once.
 	quickCallsPerConn = 20
 	// quickCallsPerFront is how many more of them a second all connections may have.
@@ -25,13 +23,12 @@
 
 // connPace is the pace of one connection's calls.
 type connPace struct {
-	begun       *rate.Limiter
 	quick       *rate.Limiter
 	pausedUntil float64 // ms of the clock; guarded by callTracker.mu
 }
 
 func newConnPace() connPace {
-	return connPace{begun: rate.NewLimiter(callsPerSecond, callsAtOnce), quick: rate.NewLimiter(quickCallsPerConn, quickCallsPerConn)}
+	return connPace{quick: rate.NewLimiter(quickCallsPerConn, quickCallsPerConn)}
 }
 
 // limiterTime converts ms of the clock for the limiters.
@@ -56,9 +53,7 @@
 // connection, and reports whether the client is still there: calls that were sent before a close may be read behind it.
 func (t *callTracker) awaitPace(conn *clientConn) (present bool) {
 	t.mu.Lock()
-	nowMs := t.clock.Now()
-	now := limiterTime(nowMs)
-	pause := max(float64(conn.pace.begun.ReserveN(now, 1).DelayFrom(now))/float64(time.Millisecond), conn.pace.pausedUntil-nowMs)
+	pause := conn.pace.pausedUntil - t.clock.Now()
 	t.mu.Unlock()
 	for pause > 0 && !conn.peerClosed() {
 		step := min(pause, closeCheckInterval)
