Bound the number of a gRPC call's metadata fields

The library counts 32 bytes for each field of the 16 KiB, and a call was counted with its 16 KiB; the fields cost several times that.

Why this works: a call with over 128 fields ends at once with INVALID_ARGUMENT, and the next call of its connection is read 100 ms later, since the parsing costs most.

The tests of the package pass.

--- a/internal/grpcfront/calls.go
+++ b/internal/grpcfront/calls.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/time/rate"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 	"google.golang.org/grpc/tap"
@@ -24,6 +25,8 @@
 	readTimeout = 2700.0
 	// maxHeaderBytes limits the metadata of a call.
 	maxHeaderBytes = 16 << 10
+	// maxMetadataFields limits their number: each takes many times the bytes of a short one.
+	maxMetadataFields = 128
 	// callOverhead is the memory in bytes that a call may need besides its message: its state and stacks, some
 	// 16 KiB, and its metadata.
 	callOverhead = 16<<10 + maxHeaderBytes
@@ -138,9 +141,14 @@
 	}
 	present := t.awaitPace(addr.conn)
 	call := &clientCall{tracker: t, conn: addr.conn, evicted: make(chan struct{}), startedAt: t.clock.Now(), held: callOverhead}
-	if !present {
-		call.rejectAbsent()
-		return context.WithValue(ctx, callKey{}, call), nil
+	switch {
+	case !present:
+		// The calls that are still to be read from the connection would begin for nobody. An error means that it is closed.
+		_ = call.conn.Conn.Close()
+		return call.reject(ctx, status.Error(codes.Canceled, "the client has closed its connection")), nil
+	case countFields(info.Header) > maxMetadataFields:
+		t.pauseReading(call.conn, manyFieldsPause)
+		return call.reject(ctx, status.Error(codes.InvalidArgument, fmt.Sprintf("more than %d metadata fields", maxMetadataFields))), nil
 	}
 	context.AfterFunc(ctx, call.end)
 	ctx = context.WithValue(ctx, callKey{}, call)
@@ -157,13 +165,20 @@
 	return ctx, nil
 }
 
-// rejectAbsent ends a call whose client has closed its connection, and the connection: the calls that are still to be
-// read from it would begin for nobody.
-func (call *clientCall) rejectAbsent() {
-	call.err = status.Error(codes.Canceled, "the client has closed its connection")
+// reject ends a call as it begins, and returns its context. Nothing is counted for it.
+func (call *clientCall) reject(ctx context.Context, err error) context.Context {
+	call.err, call.held = err, 0
 	close(call.evicted)
-	// An error means that it is closed already.
-	_ = call.conn.Conn.Close()
+	context.AfterFunc(ctx, call.end)
+	return context.WithValue(ctx, callKey{}, call)
+}
+
+// countFields counts the values of a call's metadata.
+func countFields(header metadata.MD) (count int) {
+	for _, values := range header {
+		count += len(values)
+	}
+	return count
 }
 
 // startReadTimer starts the timer that ends a call whose request does not become complete. The caller holds t.mu.
--- a/internal/grpcfront/pace.go
+++ b/internal/grpcfront/pace.go
@@ -17,6 +17,8 @@
 	quickCallsPerFront = 500
 	// maxReadPause in ms bounds the pause before the next call of a connection is read.
 	maxReadPause = 1000.0
+	// manyFieldsPause in ms is the pause behind a call with too much metadata, which costs most as it is parsed.
+	manyFieldsPause = 100.0
 	// closeCheckInterval in ms is how often a paused connection is checked for its client's close.
 	closeCheckInterval = 50.0
 )
@@ -49,6 +51,13 @@
 	conn.pace.pausedUntil = max(conn.pace.pausedUntil, nowMs+pause)
 }
 
+// pauseReading has the next call of a connection wait for some ms.
+func (t *callTracker) pauseReading(conn *clientConn, pause float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	conn.pace.pausedUntil = max(conn.pace.pausedUntil, t.clock.Now()+pause)
+}
+
 // awaitPace waits until a further call of a connection may begin. It is called by the goroutine that reads from the
 // connection, and reports whether the client is still there: calls that were sent before a close may be read behind it.
 func (t *callTracker) awaitPace(conn *clientConn) (present bool) {
