--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -291,6 +291,15 @@
 // it seems to, and a client of such requests is not to be served at full speed.
 func rejectRequest(ctx *fasthttp.RequestCtx, code int, err error) {
 	ctx.Error(err.Error(), code)
+	if conn, ok := ctx.Conn().(*clientConn); ok {
+		conn.closeBehindAnswer(ctx, "unsound")
+	}
+	ctx.SetConnectionClose()
+}
+
+// closeBehindAnswer has the connection closed behind the answer and logs the reason.
+func (c *clientConn) closeBehindAnswer(ctx *fasthttp.RequestCtx, reason string) {
+	c.listener.log.Debug("connection closed behind an answer", "why", reason, "status", ctx.Response.StatusCode(), "client", c.Conn.RemoteAddr())
 	ctx.SetConnectionClose()
 }
 
@@ -298,8 +307,14 @@
 // have had too many of these, or if no further request can be read from it. conn is nil where the host's listener is not
 // wrapped.
 func limitQuickAnswers(ctx *fasthttp.RequestCtx, conn *clientConn) {
-	if conn != nil && (conn.hasDroppedAhead() || !conn.mayKeepAfterQuickAnswer()) {
-		ctx.SetConnectionClose()
+	if conn == nil {
+		return
+	}
+	switch {
+	case conn.hasDroppedAhead():
+		conn.closeBehindAnswer(ctx, "sent-ahead")
+	case !conn.mayKeepAfterQuickAnswer():
+		conn.closeBehindAnswer(ctx, "quick-answers")
 	}
 }
 
