Do not take the body of a request sent ahead for a head of too many lines

Cause: the count began anew with the first read behind an answer, and that read may bring a body.

Why this works: the count begins only where all that was read has been parsed; otherwise the head is looked at once it is parsed, as before. The look at a client's close stands once now, for both fronts.

--- a/internal/grpcfront/clientconn.go
+++ b/internal/grpcfront/clientconn.go
@@ -1,9 +1,7 @@
 package grpcfront
 
 import (
-	"errors"
 	"net"
-	"syscall"
 
 	"ashwood.example/ashwood/internal/sockcall"
 )
@@ -35,19 +33,8 @@
 	return n, err
 }
 
-// peerClosed reports whether the client has closed its side or reset the connection, whatever it has sent before; false
-// where that can't be determined.
-func (c *clientConn) peerClosed() (closed bool) {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	err := sockcall.Do(socket, func(fd int) error {
-		closed = sockcall.PeerClosed(fd)
-		return nil
-	})
-	return closed || errors.Is(err, net.ErrClosed)
-}
+// peerClosed reports whether the client has closed its side or reset the connection, whatever it has sent before.
+func (c *clientConn) peerClosed() bool { return sockcall.ConnPeerClosed(c.Conn) }
 
 // trackedListener returns its connections as *clientConn.
 type trackedListener struct {
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -345,7 +345,8 @@
 // awaitNextRequest records that the next request is being read: the previous answer has been written.
 func (c *clientConn) awaitNextRequest() {
 	c.answerEnded = false
-	c.head = headLines{}
+	// Behind a request that was sent ahead, the bytes that come may be of its body.
+	c.head = headLines{ended: !c.parsedLengthKnown || c.bytesRead > c.bytesParsed}
 	c.pipelinedUnanswered.Store(false)
 	c.mu.Lock()
 	c.requestStarted.Store(len(c.readAhead) > 0)
--- a/internal/platform/read_ahead.go
+++ b/internal/platform/read_ahead.go
@@ -39,7 +39,7 @@
 	if c.writeClosed {
 		return
 	}
-	if c.peerClosed() { // before the request begins: it may have been sent ahead of the close
+	if sockcall.ConnPeerClosed(c.Conn) { // before the request begins: it may have been sent ahead of the close
 		onDisconnect()
 	}
 	c.Conn.SetReadDeadline(time.Time{})
@@ -115,19 +115,6 @@
 	return err
 }
 
-// peerClosed reports whether the client has closed its side or reset the connection; false where that can't be determined.
-func (c *clientConn) peerClosed() (closed bool) {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	err := sockcall.Do(socket, func(fd int) error {
-		closed = sockcall.PeerClosed(fd)
-		return nil
-	})
-	return err == nil && closed
-}
-
 // dropReadAhead reads what the client sends and drops it, until the client has closed its side or reset the connection. No
 // request can be read from the connection any more. It always returns an error.
 func (c *clientConn) dropReadAhead() error {
--- a/internal/sockcall/sockcall.go
+++ b/internal/sockcall/sockcall.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -44,5 +45,19 @@
 	}
 }
 
+// ConnPeerClosed is PeerClosed for a connection; false where that can't be determined. A connection that is closed on this side counts as
+// closed.
+func ConnPeerClosed(conn net.Conn) (closed bool) {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	err := Do(socket, func(fd int) error {
+		closed = PeerClosed(fd)
+		return nil
+	})
+	return closed || errors.Is(err, net.ErrClosed)
+}
+
 // UnreadBytes returns the number of bytes that have arrived on a socket and have not been read.
 func UnreadBytes(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.TIOCINQ) }
