Ask the socket for a close only before a request that was sent ahead

The look at a client's close before a request begins was one more system call for every request. It is needed only where the request, or a part of it, came before the answer before it had ended; the close of any other client is seen by the read that watches it, as before.

Measured: TestLeave_MuchUnreadAtClose, TestLeave_OrderComesAgain and the tests of platform pass.

--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -296,6 +296,7 @@
 	usedReadAhead          bool // part of the next request was read while an answer was in flight
 	answerEnded            bool
 	head                   headLines     // of the request that is being read
+	pipelined              bool          // at least a part of the request that is served was sent ahead
 	quickAnswers           *rate.Limiter // nil before the first answer without an engine's work
 
 	mu             sync.Mutex
--- a/internal/platform/read_ahead.go
+++ b/internal/platform/read_ahead.go
@@ -39,7 +39,7 @@
 	if c.writeClosed {
 		return
 	}
-	if sockcall.ConnPeerClosed(c.Conn) { // before the request begins: it may have been sent ahead of the close
+	if c.pipelined && sockcall.ConnPeerClosed(c.Conn) { // before the request begins: it may have been sent ahead of the close
 		onDisconnect()
 	}
 	c.Conn.SetReadDeadline(time.Time{})
@@ -204,11 +204,12 @@
 func (c *clientConn) isPipelined() bool {
 	if c.answerEnded { // it was read whole together with the previous request
 		c.awaitNextRequest()
+		c.pipelined = true
 		return true
 	}
-	pipelined := c.usedReadAhead
+	c.pipelined = c.usedReadAhead
 	c.usedReadAhead = false
-	return pipelined
+	return c.pipelined
 }
 
 // pipelinedRefusal answers a pipelined request on a connection that closes.
