Drop what is sent ahead as soon as it is more than may be kept

Cause, by the first trace: the client could write 4.07 MB, so its close stood behind a closed window, and the gateway dropped nothing: the kernel closes the window by the memory of its segments, which may be before 32 KiB are unread. By the second: 28.8 MB had been dropped, over 16 MiB, from where on it went slowly, with megabytes still in both machines' buffers.

Why this works: behind 1 MiB nothing may wait unread, so there is no count to guess; where memory allows less, 8 KiB may. 48 MiB are dropped at full speed, more than the buffers here can hold.

--- a/internal/platform/read_ahead.go
+++ b/internal/platform/read_ahead.go
@@ -19,11 +19,12 @@
 const (
 	maxReadAhead         = 16 << 10 // bytes that any connection may hold; a handover message has room for as many
 	maxReadAheadExtended = 1 << 20  // while the listener's memory allows: a few requests of the largest size
-	// maxUnread is how many bytes beyond that may wait in the kernel: its receive buffer has room for them and a close behind.
-	maxUnread = 32 << 10
+	// maxUnread is how many bytes may wait in the kernel where the listener's memory allows no more reading ahead: its receive
+	// buffer has room for them and a close behind. Beyond maxReadAheadExtended none may: how many make it full is not known.
+	maxUnread = 8 << 10
 	// What a client has sent and closed behind fits into the buffers of both machines, and is dropped at full speed. Of more than
 	// maxDroppedAtSpeed bytes, droppedPerPause are dropped in each disconnectCheckPause.
-	maxDroppedAtSpeed = 16 << 20
+	maxDroppedAtSpeed = 48 << 20
 	droppedPerPause   = 64 << 10
 	dropBuffer        = 16 << 10 // bytes
 	// disconnectCheckPause bounds what it costs to check a connection on which bytes keep arriving.
@@ -31,7 +32,7 @@
 )
 
 // watchDisconnect calls onDisconnect once if the client closes its side before stopWatch. Pipelined
-// requests do not hide the close: if they are more than may be read ahead and maxUnread, they are dropped, and the
+// requests do not hide the close: if they are more than may be read ahead and wait behind that, they are dropped, and the
 // connection is closed behind the request that runs.
 func (c *clientConn) watchDisconnect(onDisconnect func()) {
 	c.mu.Lock()
@@ -95,14 +96,14 @@
 	if err != nil {
 		return err
 	}
-	closed := false
+	closed, allowed := false, c.allowedUnread()
 	_, err = c.waitNetwork(func() (int, error) {
 		// Read calls the function again whenever more has arrived.
 		return 0, raw.Read(func(fd uintptr) bool {
 			if closed = sockcall.PeerClosed(int(fd)); closed {
 				return true
 			}
-			if unread, err := sockcall.UnreadBytes(int(fd)); err == nil && unread > maxUnread {
+			if unread, err := sockcall.UnreadBytes(int(fd)); err == nil && unread > allowed {
 				return true
 			}
 			time.Sleep(disconnectCheckPause)
@@ -115,6 +116,16 @@
 	return err
 }
 
+// allowedUnread returns how many bytes may wait in the kernel behind what has been read ahead.
+func (c *clientConn) allowedUnread() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.readAhead) >= maxReadAheadExtended {
+		return 0
+	}
+	return maxUnread
+}
+
 // dropReadAhead reads what the client sends and drops it, until the client has closed its side or reset the connection. No
 // request can be read from the connection any more. It always returns an error.
 func (c *clientConn) dropReadAhead() error {
