Take an answer for whole only with its last event

Cause: took three answers without the terminator for a sign that engines of their kind never write it. Class: a guess from faults.

There is nothing left to learn, and less code.

--- a/internal/platform/engines.go
+++ b/internal/platform/engines.go
@@ -49,9 +49,8 @@
 // Engines sends attempts, reservations, releases and probes to engines over
 // pooled HTTP/1.1 connections. It never resends a request by itself.
 type Engines struct {
-	pool        *connPool
-	clock       clock.Clock
-	terminators terminatorRecord
+	pool  *connPool
+	clock clock.Clock
 
 	mu        sync.Mutex
 	stopSweep func() bool // cancels the next sweep
@@ -221,7 +220,7 @@
 	result := ashwood.Result{Report: wire.ParseReport(string(response.Peek(headerLoadReport)))}
 	code := response.StatusCode()
 	if code == fasthttp.StatusOK {
-		stream := e.newStream(ctx, c, attempt.Engine.Kind, &response)
+		stream := e.newStream(ctx, c, &response)
 		stopTimeout := e.limitSilence(c, completionTimeout) // the engine sends the header together with the first token
 		err := stream.readFirstEvent()
 		stopTimeout()
--- a/internal/platform/event_scanner.go
+++ b/internal/platform/event_scanner.go
@@ -1,9 +1,6 @@
 package platform
 
-import (
-	"bytes"
-	"sync"
-)
+import "bytes"
 
 // terminator is the data of the event with which an engine ends a stream.
 const terminator = "[DONE]"
@@ -71,39 +68,3 @@
 
 // hasTerminator reports whether the terminator has come, with or without the end of its line.
 func (s *eventScanner) hasTerminator() bool { return s.terminated || s.isTerminator() }
-
-// terminatorRecord records which kinds of engines end their answers with the terminator: all, as the platform has it, until some
-// of a kind have ended by their framing alone, and none with it. It is safe for concurrent use.
-type terminatorRecord struct {
-	mu    sync.Mutex
-	kinds map[string]*terminatorCounts
-}
-
-// terminatorCounts counts the answers of a kind of engines that have ended by their framing, outside an event.
-type terminatorCounts struct {
-	with, without int
-}
-
-// maxWithoutTerminator is how many answers of a kind must end without the terminator, and none with it, before it is not
-// expected any more.
-const maxWithoutTerminator = 3
-
-// record counts the end of an answer of a kind, and reports whether the terminator was due.
-func (r *terminatorRecord) record(kind string, terminated bool) (due bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.kinds == nil {
-		r.kinds = map[string]*terminatorCounts{}
-	}
-	counts := r.kinds[kind]
-	if counts == nil {
-		counts = &terminatorCounts{}
-		r.kinds[kind] = counts
-	}
-	if terminated {
-		counts.with++
-	} else {
-		counts.without++
-	}
-	return counts.with > 0 || counts.without <= maxWithoutTerminator
-}
--- a/internal/platform/handover.go
+++ b/internal/platform/handover.go
@@ -87,7 +87,7 @@
 // adoptStream continues an engine's answer that another process has begun.
 func (e *Engines) adoptStream(ctx context.Context, nc net.Conn, engine ashwood.Server, state bodyState) (*engineStream, error) {
 	c := &engineConn{Conn: nc, reader: bufio.NewReaderSize(io.MultiReader(bytes.NewReader(state.Buffered), nc), 4096), addr: engine.Address}
-	s := &engineStream{pool: e.pool, conn: c, reusable: state.Keep, tail: state.Tail, engineKind: engine.Kind, terminators: &e.terminators}
+	s := &engineStream{pool: e.pool, conn: c, reusable: state.Keep, tail: state.Tail}
 	s.events.scan(state.Tail)
 	switch state.Form {
 	case "chunks":
@@ -95,7 +95,7 @@
 	case "length":
 		s.body = &fixedLengthReader{reader: c.reader, remaining: state.Left}
 	case "close":
-		s.body, s.endsByClose = c.reader, true
+		s.body = c.reader
 	default:
 		return nil, fmt.Errorf("platform: unknown body form %q in a handover message", state.Form)
 	}
--- a/internal/platform/short_answer_test.go
+++ b/internal/platform/short_answer_test.go
@@ -48,23 +48,6 @@
 	}
 }
 
-// Engines that never write the terminator are served once that is known; one answer with it is enough for it to be due.
-func TestTerminatorRecord_Due(t *testing.T) {
-	var record terminatorRecord
-	for n, tt := range []struct {
-		kind       string
-		terminated bool
-		due        bool
-	}{
-		{"plain", false, true}, {"plain", false, true}, {"plain", false, true}, {"plain", false, false}, {"plain", false, false},
-		{"other", false, true}, {"plain", true, true}, {"plain", false, true},
-	} {
-		if due := record.record(tt.kind, tt.terminated); due != tt.due {
-			t.Errorf("answer %d, of kind %s: the terminator is due: %v, want %v", n, tt.kind, due, tt.due)
-		}
-	}
-}
-
 // Guards against a whole answer that is taken for one that has stopped short.
 func TestStream_WholeAnswerInAnyForm(t *testing.T) {
 	for _, events := range []string{
--- a/internal/platform/stream.go
+++ b/internal/platform/stream.go
@@ -27,12 +27,8 @@
 	eventEnded    bool // an event ended in the last piece read
 	eventBytes    int  // read since the last event ended
 	bufferFilled  bool // the last piece filled the buffer
-	endsByClose   bool // the body has no framing: it ends with the connection
 	reusable      bool
 	done          bool
-
-	engineKind  string
-	terminators *terminatorRecord
 }
 
 const tailBytes = 512
@@ -40,8 +36,8 @@
 // errStoppedShort ends an answer whose framing has ended and that is not whole.
 var errStoppedShort = fmt.Errorf("platform: an answer stopped short: %w", io.ErrUnexpectedEOF) // sent to clients
 
-func (e *Engines) newStream(ctx context.Context, c *engineConn, engineKind string, response *fasthttp.ResponseHeader) *engineStream {
-	stream := &engineStream{pool: e.pool, conn: c, reusable: !response.ConnectionClose(), engineKind: engineKind, terminators: &e.terminators}
+func (e *Engines) newStream(ctx context.Context, c *engineConn, response *fasthttp.ResponseHeader) *engineStream {
+	stream := &engineStream{pool: e.pool, conn: c, reusable: !response.ConnectionClose()}
 	stream.stopInterrupt = c.interruptOnDone(ctx)
 	switch n := response.ContentLength(); {
 	case n == -1:
@@ -49,21 +45,14 @@
 	case n >= 0:
 		stream.body = &fixedLengthReader{reader: c.reader, remaining: n}
 	default:
-		stream.body, stream.endsByClose, stream.reusable = c.reader, true, false
+		stream.body, stream.reusable = c.reader, false
 	}
 	return stream
 }
 
-// isWhole reports whether an answer whose framing has ended is whole: no event is open, and the terminator has come
-// where it is due. The end of a connection alone proves nothing, as an engine that fails closes it too.
-func (s *engineStream) isWhole() bool {
-	if s.events.eventOpen() {
-		return false
-	}
-	terminated := s.events.hasTerminator()
-	due := s.terminators.record(s.engineKind, terminated)
-	return terminated || !due && !s.endsByClose
-}
+// isWhole reports whether an answer whose framing has ended is whole: no event is open, and the terminator has come, with which
+// the platform's engines end each answer. The end of the framing alone proves nothing: an engine that fails may end it too.
+func (s *engineStream) isWhole() bool { return !s.events.eventOpen() && s.events.hasTerminator() }
 
 // fixedLengthReader reads a body with a known length and returns an error if the connection
 // ends earlier.
