Take all that a client has sent behind its request, so that its close arrives

Cause: a close arrives only behind all that the client wrote before it. What came behind a request was dropped at full speed up to 48 MiB, then 64 KiB each 5 ms; a client that writes without a pause is past that within some ms, and leaves megabytes in the buffers of both machines. Class: a bound on bytes or pace between a question and its answer.

Why this works: there is no bound any more but the time between two looks (25 ms): each takes all that has arrived until nothing is left. Linux throws the bytes away without a copy (MSG_TRUNC); where that is not known, they are copied as before.

--- a/cmd/ashwood/flood_test.go
+++ b/cmd/ashwood/flood_test.go
@@ -39,6 +39,9 @@
 		head := "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Txn: %d\r\nX-Lane: case-chat\r\nX-Remaining: 5.000\r\nTransfer-Encoding: chunked\r\n\r\n"
 		return fmt.Sprintf(head, n) + strings.Repeat("1\r\n \r\n", maxBody)
 	}},
+	{"zeros behind a request", func(n int64) string {
+		return postText(fmt.Sprint("z", n), "case-chat", "prompt_len=4", "{}") + strings.Repeat("\x00", maxBody)
+	}},
 	{"readiness checks", func(int64) string { return "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n" }},
 }
 
@@ -95,8 +98,8 @@
 }
 
 // fleetConfig is the configuration of one of four gateways that probe their engines.
-func fleetConfig(t *testing.T) string {
-	text := configJSON(startDiscovery(t, startEngines(t, func() {})), "null")
+func fleetConfig(t *testing.T, membership string) string {
+	text := configJSON(startDiscovery(t, membership), "null")
 	return strings.NewReplacer(`"siblings":1`, `"siblings":4`, `"cancel":true`, `"cancel":true,"probes":true`, `"cores":1`, fmt.Sprintf(`"cores":%v`, coreShare)).Replace(text)
 }
 
@@ -113,38 +116,86 @@
 func TestFlood_OtherClientsAnsweredInTime(t *testing.T) {
 	for _, tt := range shortened(floods) {
 		t.Run(tt.name, func(t *testing.T) {
-			cmd, listen, _ := startProgram(t, fleetConfig(t), "")
-			stop := make(chan struct{})
-			var flooding, sound sync.WaitGroup
-			flooding.Go(func() { shareCore(cmd.Process, coreShare, stop) })
-			var sent, asked, wrong atomic.Int64
-			for range floodClients {
-				flooding.Go(func() { flood(listen, &sent, tt.request, stop) })
-			}
-			for client := range soundClients {
-				sound.Go(func() {
-					httpClient := &http.Client{Transport: &http.Transport{}}
-					defer httpClient.CloseIdleConnections()
-					for started := time.Now(); time.Since(started) < floodTime; {
-						n := asked.Add(1)
-						begun := time.Now()
-						status, err := askSound(httpClient, listen, fmt.Sprintf("s%d-%d", client, n))
-						if waited := time.Since(begun); status != http.StatusOK || err != nil || waited > soundWait+answerSlack {
-							wrong.Add(1)
-							t.Logf("request %d: status %d, %v, after %v", n, status, err, waited)
-						}
-					}
-				})
-			}
-			sound.Wait()
-			close(stop)
-			flooding.Wait()
-			t.Logf("%d requests beside %d of the flood", asked.Load(), sent.Load())
-			if wrong.Load() > 0 {
-				t.Errorf("%d of %d requests were not served within %v", wrong.Load(), asked.Load(), soundWait+answerSlack)
+			var sent atomic.Int64
+			askBesideFlood(t, fleetConfig(t, startEngines(t, func() {})), func(listen string, stop chan struct{}) { flood(listen, &sent, tt.request, stop) })
+			t.Logf("%d requests of the flood", sent.Load())
+		})
+	}
+}
+
+// heldPrefix begins the ids of requests that startHoldingEngines holds.
+const heldPrefix = "held"
+
+// startHoldingEngines starts engines as startEngines does, whose prefills of some requests go on for as long as the test.
+func startHoldingEngines(t *testing.T) (membership string) {
+	done := make(chan struct{})
+	membership = startEnginesWith(t, func(r *http.Request) {
+		if !strings.HasPrefix(r.Header.Get("X-Txn"), heldPrefix) {
+			return
+		}
+		io.Copy(io.Discard, r.Body) // otherwise the server would not notice that its client has closed
+		select {
+		case <-r.Context().Done():
+		case <-done:
+		}
+	}, func() {})
+	t.Cleanup(func() { close(done) })
+	return membership
+}
+
+// Guards against clients whose answers come late or never while others send at full speed behind requests that run.
+func TestFlood_BehindRunningRequests(t *testing.T) {
+	var flooders atomic.Int64
+	askBesideFlood(t, fleetConfig(t, startHoldingEngines(t)), func(listen string, stop chan struct{}) {
+		c, err := net.Dial("tcp", listen)
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		go func() { // a write may be blocked
+			<-stop
+			c.Close()
+		}()
+		io.WriteString(c, postText(fmt.Sprint(heldPrefix, flooders.Add(1)), "case-chat", "prompt_len=4", "{}"))
+		for err == nil {
+			_, err = c.Write(make([]byte, 64<<10))
+		}
+	})
+}
+
+// askBesideFlood starts the program on a share of a core, has clients flood it, and checks that others are served in time.
+func askBesideFlood(t *testing.T, config string, flood func(listen string, stop chan struct{})) {
+	t.Helper()
+	cmd, listen, _ := startProgram(t, config, "")
+	stop := make(chan struct{})
+	var flooding, sound sync.WaitGroup
+	flooding.Go(func() { shareCore(cmd.Process, coreShare, stop) })
+	var asked, wrong atomic.Int64
+	for range floodClients {
+		flooding.Go(func() { flood(listen, stop) })
+	}
+	for client := range soundClients {
+		sound.Go(func() {
+			httpClient := &http.Client{Transport: &http.Transport{}}
+			defer httpClient.CloseIdleConnections()
+			for started := time.Now(); time.Since(started) < floodTime; {
+				n := asked.Add(1)
+				begun := time.Now()
+				status, err := askSound(httpClient, listen, fmt.Sprintf("s%d-%d", client, n))
+				if waited := time.Since(begun); status != http.StatusOK || err != nil || waited > soundWait+answerSlack {
+					wrong.Add(1)
+					t.Logf("request %d: status %d, %v, after %v", n, status, err, waited)
+				}
 			}
 		})
 	}
+	sound.Wait()
+	close(stop)
+	flooding.Wait()
+	t.Logf("%d requests beside the flood", asked.Load())
+	if wrong.Load() > 0 {
+		t.Errorf("%d of %d requests were not served within %v", wrong.Load(), asked.Load(), soundWait+answerSlack)
+	}
 }
 
 // askSound sends a sound request and reads its answer to the end.
--- a/cmd/ashwood/main_test.go
+++ b/cmd/ashwood/main_test.go
@@ -112,11 +112,17 @@
 // startEngines starts a prefill and a decode engine and returns discovery's membership of them.
 // The decode engine calls midway in the middle of each answer.
 func startEngines(t *testing.T, midway func()) (membership string) {
+	return startEnginesWith(t, func(*http.Request) {}, midway)
+}
+
+// startEnginesWith is startEngines; the prefill engine calls prefilling for each prompt.
+func startEnginesWith(t *testing.T, prefilling func(*http.Request), midway func()) (membership string) {
 	prefill := startHTTPServer(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodDelete {
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
+		prefilling(r)
 		w.WriteHeader(http.StatusAccepted)
 		io.WriteString(w, `{"cached_tokens":0}`)
 	})
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -23,7 +23,7 @@
 func WrapListener(l net.Listener) net.Listener { return newListener(l, 0) }
 
 func newListener(l net.Listener, limit int) *listener {
-	wrapped := &listener{Listener: l, started: time.Now(), maxConns: limit, limit: limit, log: slog.New(slog.DiscardHandler), memory: newRequestMemory(), quickAnswers: newQuickAnswerLimit(quickAnswersPerFront)}
+	wrapped := &listener{Listener: l, started: time.Now(), maxConns: limit, limit: limit, log: slog.New(slog.DiscardHandler), memory: newRequestMemory(), quickAnswers: newQuickAnswerLimit(quickAnswersPerFront), discarded: make([]byte, discardBuffer)}
 	wrapped.changed.L = &wrapped.mu
 	return wrapped
 }
@@ -41,6 +41,7 @@
 	log      *slog.Logger
 
 	quickAnswers *rate.Limiter // over all connections
+	discarded    []byte        // what connections drop; never read
 
 	mu                sync.Mutex
 	limit             int // this process's part of maxConns
@@ -299,14 +300,16 @@
 	pipelined              bool          // at least a part of the request that is served was sent ahead
 	quickAnswers           *rate.Limiter // nil before the first answer without an engine's work
 
+	receiving sync.Mutex // held while bytes that are sent ahead are taken; before mu
+
 	mu             sync.Mutex
 	readAhead      []byte
-	aheadDropped   bool          // more was sent ahead than may be kept
-	countedAhead   atomic.Int64  // bytes of readAhead as counted in listener.memory
-	watchDone      chan struct{} // closed when the watch has ended; nil without a watch
-	readInProgress bool          // a goroutine is reading from the network
-	writeClosed    bool          // nothing more is written, and bytes read are not passed on
-	aborted        bool          // closed without lingering
+	aheadDropped   bool             // more was sent ahead than may be kept
+	countedAhead   atomic.Int64     // bytes of readAhead as counted in listener.memory
+	watch          *disconnectWatch // nil without a request that runs
+	readInProgress bool             // a goroutine is reading from the network
+	writeClosed    bool             // nothing more is written, and bytes read are not passed on
+	aborted        bool             // closed without lingering
 
 	closePending bool      // the goroutine reading from the network closes it if that read ends without a byte
 	readDeadline time.Time // for reads of requests
--- a/internal/platform/read_ahead.go
+++ b/internal/platform/read_ahead.go
@@ -5,15 +5,17 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"ashwood.example/ashwood/internal/sockcall"
 )
 
-// This file reads what clients send while one of their requests runs: that is how a disconnect is
-// detected even behind pipelined requests. The bytes go to the next Read. When no more may be read, the
-// socket is asked for the disconnect instead.
+// This file takes what clients send while one of their requests runs: that is how a disconnect is
+// detected even behind pipelined requests. The bytes go to the next Read. What is more than may be kept is
+// dropped: a close can arrive only where there is room for all that the client has sent before it.
 
 // Bounds of reading ahead.
 const (
@@ -21,14 +23,23 @@
 	maxReadAheadExtended = 1 << 20  // while the listener's memory allows: a few requests of the largest size
 	// maxUnread is how many bytes may wait in the kernel where the listener's memory allows no more reading ahead: its receive
 	// buffer has room for them and a close behind. Beyond maxReadAheadExtended none may: how many make it full is not known.
-	maxUnread = 8 << 10
-	// What a client has sent and closed behind fits into the buffers of both machines, and is dropped at full speed. Of more than
-	// maxDroppedAtSpeed bytes, droppedPerPause are dropped in each disconnectCheckPause.
-	maxDroppedAtSpeed = 48 << 20
-	droppedPerPause   = 64 << 10
-	dropBuffer        = 16 << 10 // bytes
+	maxUnread     = 8 << 10
+	receiveBuffer = 4 << 10  // bytes
+	discardBuffer = 64 << 10 // bytes; nothing is copied to it where the system can throw bytes away
+	// maxReceivedAtOnce bounds in bytes how long one connection is read without a pause.
+	maxReceivedAtOnce = 16 << 20
 	// disconnectCheckPause bounds what it costs to check a connection on which bytes keep arriving.
-	disconnectCheckPause = 5 * time.Millisecond
+	disconnectCheckPause = 25 * time.Millisecond
+	roundPause           = time.Millisecond // between two parts of a check of maxReceivedAtOnce each
+)
+
+// arrival is what receiveArrived has found.
+type arrival int
+
+const (
+	arrivedAll  arrival = iota // nothing is left to take
+	arrivedMore                // there may be more
+	clientLeft                 // the client has closed its side or reset the connection
 )
 
 // watchDisconnect calls onDisconnect once if the client closes its side before stopWatch. Pipelined
@@ -44,78 +55,177 @@
 		onDisconnect()
 	}
 	c.Conn.SetReadDeadline(time.Time{})
-	done := make(chan struct{})
-	c.watchDone = done
+	watch := &disconnectWatch{done: make(chan struct{})}
+	c.watch = watch
 	go func() {
-		defer close(done)
-		err := c.fillReadAhead()
-		if err == nil {
-			err = c.awaitDisconnect()
-		}
-		if err == nil {
-			err = c.dropReadAhead()
-		}
+		defer close(watch.done)
+		err := c.awaitDisconnect(watch)
 		netErr, ok := err.(net.Error)
 		stopped := ok && netErr.Timeout() // by stopWatch
-		if !stopped && !errors.Is(err, errors.ErrUnsupported) {
+		if !stopped {
 			onDisconnect()
 		}
 	}()
 }
 
-// fillReadAhead reads until no more may be read ahead, or reading fails.
-func (c *clientConn) fillReadAhead() error {
-	var buffer [512]byte
+// disconnectWatch is the watch of a connection during one request.
+type disconnectWatch struct {
+	stopped atomic.Bool
+	done    chan struct{} // closed when it has ended
+}
+
+// awaitDisconnect takes what arrives until the client has closed its side or reset the connection, and returns io.EOF then, or
+// the error that ended the wait.
+func (c *clientConn) awaitDisconnect(watch *disconnectWatch) error {
+	raw, err := rawConn(c.Conn)
+	if err != nil {
+		return c.readUntilDisconnect()
+	}
 	for {
-		c.mu.Lock()
-		mayRead := c.canReadAhead()
-		c.mu.Unlock()
-		if !mayRead {
-			return nil
+		switch c.receiveArrived(raw, watch.stopped.Load) {
+		case clientLeft:
+			return io.EOF
+		case arrivedMore:
+			if watch.stopped.Load() {
+				return os.ErrDeadlineExceeded
+			}
+			time.Sleep(roundPause)
+			continue
 		}
-		n, err := c.readNetwork(buffer[:])
-		c.mu.Lock()
-		c.readAhead = append(c.readAhead, buffer[:n]...)
-		c.countReadAhead()
-		c.mu.Unlock()
-		if err != nil {
+		if c.hasDroppedAhead() {
+			time.Sleep(disconnectCheckPause)
+		}
+		if err := c.awaitArrival(raw); err != nil {
 			return err
 		}
 	}
 }
 
-// awaitDisconnect waits until the client has closed its side or reset the connection, without reading what it
-// has sent before, and returns io.EOF then, or the error that ended the wait. It returns nil once so much is unread that
-// a close could not arrive behind it.
-func (c *clientConn) awaitDisconnect() error {
-	socket, ok := c.Conn.(syscall.Conn)
+// rawConn returns the socket of a connection that is no more than a socket.
+func rawConn(conn net.Conn) (syscall.RawConn, error) {
+	socket, ok := conn.(syscall.Conn)
 	if !ok {
-		return errors.ErrUnsupported
+		return nil, errors.ErrUnsupported
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
+	return socket.SyscallConn()
+}
+
+// receiveArrived takes what has arrived, without waiting, until stopped. It may be called by several goroutines at once.
+func (c *clientConn) receiveArrived(raw syscall.RawConn, stopped func() bool) arrival {
+	c.receiving.Lock()
+	defer c.receiving.Unlock()
+	var buffer [receiveBuffer]byte
+	for received := 0; received < maxReceivedAtOnce && !stopped(); {
+		if c.mayKeepMore() {
+			n, state := receive(raw, func(fd int) (int, error) { return sockcall.Receive(fd, buffer[:]) })
+			c.keepAhead(buffer[:n])
+			if received += n; n == 0 {
+				return state
+			}
+			continue
+		}
+		if !c.hasDroppedAhead() {
+			if state := c.checkUnread(raw); state != arrivedMore {
+				return state
+			}
+			c.dropAhead()
+		}
+		n, state := receive(raw, func(fd int) (int, error) { return sockcall.Discard(fd, c.listener.discarded[:]) })
+		if received += n; n == 0 {
+			return state
+		}
+	}
+	return arrivedMore
+}
+
+// receive takes bytes from a socket without waiting. If it took none, the state says whether the client has left.
+func receive(raw syscall.RawConn, take func(fd int) (int, error)) (n int, state arrival) {
+	left := false
+	err := sockcall.DoRaw(raw, func(fd int) (err error) {
+		if left = sockcall.PeerClosed(fd); !left {
+			n, err = take(fd)
+		}
 		return err
+	})
+	switch {
+	case left, err != nil && !errors.Is(err, syscall.EAGAIN), err == nil && n == 0:
+		return 0, clientLeft
+	case err != nil:
+		return 0, arrivedAll
 	}
-	closed, allowed := false, c.allowedUnread()
-	_, err = c.waitNetwork(func() (int, error) {
+	return n, arrivedMore
+}
+
+// checkUnread reports whether more has arrived than may wait unread, or whether the client has left.
+func (c *clientConn) checkUnread(raw syscall.RawConn) arrival {
+	unread, state := 0, arrivedAll
+	allowed := c.allowedUnread()
+	err := sockcall.DoRaw(raw, func(fd int) (err error) {
+		if sockcall.PeerClosed(fd) {
+			state = clientLeft
+		}
+		unread, err = sockcall.UnreadBytes(fd)
+		return err
+	})
+	switch {
+	case state == clientLeft || errors.Is(err, net.ErrClosed):
+		return clientLeft
+	case err == nil && unread > allowed:
+		return arrivedMore
+	}
+	return arrivedAll
+}
+
+// awaitArrival waits until there is something to take, or the client has left.
+func (c *clientConn) awaitArrival(raw syscall.RawConn) error {
+	allowed := 0
+	if !c.mayKeepMore() && !c.hasDroppedAhead() {
+		allowed = c.allowedUnread()
+	}
+	_, err := c.waitNetwork(func() (int, error) {
 		// Read calls the function again whenever more has arrived.
 		return 0, raw.Read(func(fd uintptr) bool {
-			if closed = sockcall.PeerClosed(int(fd)); closed {
-				return true
-			}
-			if unread, err := sockcall.UnreadBytes(int(fd)); err == nil && unread > allowed {
-				return true
-			}
-			time.Sleep(disconnectCheckPause)
-			return false
+			unread, err := sockcall.UnreadBytes(int(fd))
+			return err != nil || unread > allowed || sockcall.PeerClosed(int(fd))
 		})
 	})
-	if err == nil && closed {
-		return io.EOF
-	}
 	return err
 }
 
+// readUntilDisconnect is awaitDisconnect for a connection that is more than a socket: it has to be read.
+func (c *clientConn) readUntilDisconnect() error {
+	var buffer [receiveBuffer]byte
+	for {
+		n, err := c.readNetwork(buffer[:])
+		switch {
+		case err != nil:
+			return err
+		case c.mayKeepMore():
+			c.keepAhead(buffer[:n])
+		default:
+			c.dropAhead()
+		}
+	}
+}
+
+// mayKeepMore reports whether more may be read ahead.
+func (c *clientConn) mayKeepMore() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.aheadDropped && c.canReadAhead()
+}
+
+// keepAhead keeps what has been read ahead.
+func (c *clientConn) keepAhead(bytes []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(bytes) > 0 && !c.writeClosed {
+		c.requestStarted.Store(true) // from now on an answer is due
+	}
+	c.readAhead = append(c.readAhead, bytes...)
+	c.countReadAhead()
+}
+
 // allowedUnread returns how many bytes may wait in the kernel behind what has been read ahead.
 func (c *clientConn) allowedUnread() int {
 	c.mu.Lock()
@@ -126,26 +236,13 @@
 	return maxUnread
 }
 
-// dropReadAhead reads what the client sends and drops it, until the client has closed its side or reset the connection. No
-// request can be read from the connection any more. It always returns an error.
-func (c *clientConn) dropReadAhead() error {
+// dropAhead drops what the client has sent ahead. No request can be read from the connection any more.
+func (c *clientConn) dropAhead() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.aheadDropped = true
 	c.readAhead = nil
 	c.countReadAhead()
-	c.mu.Unlock()
-	var buffer [dropBuffer]byte
-	for dropped, paused := 0, 0; ; {
-		n, err := c.readNetwork(buffer[:])
-		if err != nil {
-			return err
-		}
-		dropped += n
-		if dropped-paused > maxDroppedAtSpeed { // it is more than a client can have sent before it closed
-			time.Sleep(disconnectCheckPause)
-			paused += droppedPerPause
-		}
-	}
 }
 
 // hasDroppedAhead reports whether a part of what the client has sent ahead was dropped, so that the connection is to be closed.
@@ -158,14 +255,15 @@
 // stopWatch ends the watch, so that the connection can be read again.
 func (c *clientConn) stopWatch() {
 	c.mu.Lock()
-	done := c.watchDone
-	c.watchDone = nil
+	watch := c.watch
+	c.watch = nil
 	c.mu.Unlock()
-	if done == nil {
+	if watch == nil {
 		return
 	}
+	watch.stopped.Store(true)
 	c.limitRead(time.Unix(1, 0))
-	<-done
+	<-watch.done
 	c.limitRead(time.Time{})
 }
 
--- a/internal/sockcall/sockcall.go
+++ b/internal/sockcall/sockcall.go
@@ -61,3 +61,25 @@
 
 // UnreadBytes returns the number of bytes that have arrived on a socket and have not been read.
 func UnreadBytes(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.TIOCINQ) }
+
+// Receive reads from a socket without waiting. The error is EAGAIN if nothing has arrived; 0 bytes without an error are the end.
+func Receive(fd int, p []byte) (int, error) { return receive(fd, p, unix.MSG_DONTWAIT) }
+
+// Discard is Receive for bytes that nobody reads. Linux throws the bytes of a TCP socket away without a copy (tcp(7));
+// elsewhere they are copied to p, which several calls may share.
+func Discard(fd int, p []byte) (int, error) {
+	n, err := receive(fd, p, unix.MSG_DONTWAIT|unix.MSG_TRUNC)
+	if errors.Is(err, unix.EINVAL) || errors.Is(err, unix.EOPNOTSUPP) {
+		return Receive(fd, p)
+	}
+	return n, err
+}
+
+func receive(fd int, p []byte, flags int) (int, error) {
+	for {
+		n, _, err := unix.Recvfrom(fd, p, flags)
+		if !errors.Is(err, unix.EINTR) {
+			return max(n, 0), err
+		}
+	}
+}
