Ask the client's connection before each attempt whether the client is still there

Cause: that a client has left was known only once the goroutine that reads from it had run. A close and an engine's answer that wait together are handled in either order. Class: a question that is answered by somebody else's side effect, asked before a wait and not after it.

Why this works: the gateway asks the front right before the first byte of each attempt, behind every wait (Request.ClientLeft). The HTTP/1.1 front takes all that has arrived, as a close may stand behind it, and asks the socket. A client found gone ends its request there, so that no other attempt follows. New for operators: the counter client_left by class, an info line at most each 10 s with the last id and age, and the state 'client left' in the request's log.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,7 @@
 	releaser       *releaser      // makes all release calls
 	liveness       *liveness
 	holdLog        *holdLog
+	departures     *departureLog
 	metrics        *metrics.Counters
 	answerDeadline atomic.Uint64   // ms of the clock (bits of a float64) by which all requests are answered because the process ends; 0 = not set
 	progress       progressTracker // of engines with open answers
@@ -54,7 +55,7 @@
 		names[i] = class.Name
 	}
 	g.metrics = metrics.New(names)
-	g.liveness, g.holdLog = newLiveness(log, c), newHoldLog(log, c, g.metrics)
+	g.liveness, g.holdLog, g.departures = newLiveness(log, c), newHoldLog(log, c, g.metrics), newDepartureLog(log, c, g.metrics)
 	g.releaser = newReleaser(g, settings, seed)
 	var err error
 	g.router, err = ashwood.NewRouter(settings, seed, c, func(engine ashwood.Server) { g.runInBackground(func() { g.probe(engine) }) })
@@ -138,17 +139,23 @@
 // caller must close. An error means that the request was not accepted.
 func (g *Gateway) Serve(ctx context.Context, request *Request) (Reply, error) {
 	startedAt := g.clock.Now()
-	reply, err := g.serve(ctx, request)
+	client := g.watchClient(ctx, request)
+	reply, err := g.serve(client, request)
+	if reply.Kind == ClientGone && client.leftByItself() {
+		g.departures.record(request, g.clock.Now()-startedAt)
+	}
 	if served, ok := reply.Stream.(*stream); ok {
-		served.class, served.startedAt = request.Class, startedAt
+		served.startedAt = startedAt
+	} else {
+		client.release()
 	}
 	g.log.Debug("answer", "id", request.ID, "class", request.Class, "kind", reply.Kind, "ms", g.clock.Now()-startedAt,
 		"why", reply.Reason, "err", err)
 	return reply, err
 }
 
-func (g *Gateway) serve(ctx context.Context, request *Request) (Reply, error) {
-	step, err := g.router.Pick(ctx, request.RequestInfo)
+func (g *Gateway) serve(client *clientWatch, request *Request) (Reply, error) {
+	step, err := g.router.Pick(client.ctx, request.RequestInfo)
 	if err != nil {
 		return Reply{}, err
 	}
@@ -166,7 +173,7 @@
 			holds.releaseExpired()
 			step.Timeout -= g.clock.Now() - decidedAt // releases may have used up a part of it
 			g.logRequestState(request, step, reqlog.Attempt, reason)
-			result, next := g.attempt(ctx, request, step, holds)
+			result, next := g.attempt(client, request, step, holds)
 			reason = "after " + statusName(result.Status)
 			if showsEngineRuns(result.Status) {
 				g.releaser.engineAnswered(step.Engine)
@@ -194,13 +201,16 @@
 
 // attempt sends a request once. It returns either the stream of a begun answer or, after it has
 // reported how the attempt ended, the next step.
-func (g *Gateway) attempt(ctx context.Context, request *Request, step ashwood.Step, holds *requestHolds) (AttemptResult, ashwood.Step) {
+func (g *Gateway) attempt(client *clientWatch, request *Request, step ashwood.Step, holds *requestHolds) (AttemptResult, ashwood.Step) {
 	startedAt := g.clock.Now()
 	attemptCtx, cancel := context.WithCancelCause(step.Context)
 	stop := g.clock.AfterFunc(step.Timeout, func() { cancel(ErrFirstTokenTimeout) })
 	result := g.transport.Send(attemptCtx, Attempt{
 		Request: request, Engine: step.Engine, Prefill: step.Prefill, NonIdempotent: step.NonIdempotent, Remaining: step.Timeout,
 		MayWrite: func() bool {
+			if client.hasLeft(attemptCtx) {
+				return false
+			}
 			late := step.SendBefore > 0 && g.clock.Now() >= step.SendBefore
 			if late || attemptCtx.Err() != nil || !g.router.Accepts(step.Engine.ID) {
 				return false
@@ -223,7 +233,7 @@
 	if result.Status == ashwood.StatusServed {
 		if inTime && g.router.AnswerStarted(request.ID, step.Attempt) {
 			holds.markAnswerBegun()
-			result.Stream = &stream{Stream: result.Stream, gateway: g, clientCtx: ctx, id: request.ID, attempt: step.Attempt, engine: step.Engine, progress: g.progress.join(step.Engine.ID), cancel: cancel}
+			result.Stream = &stream{Stream: result.Stream, gateway: g, client: client, id: request.ID, class: request.Class, attempt: step.Attempt, engine: step.Engine, progress: g.progress.join(step.Engine.ID), cancel: cancel}
 			return result, ashwood.Step{}
 		}
 		result.Stream.Close()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -13,7 +13,7 @@
 type stream struct {
 	Stream
 	gateway    *Gateway
-	clientCtx  context.Context // ends when the client disconnects
+	client     *clientWatch
 	id         ashwood.RequestID
 	attempt    int
 	cancel     context.CancelCauseFunc
@@ -42,7 +42,7 @@
 		}
 	case errors.Is(err, io.EOF):
 		s.end(ashwood.StatusServed)
-	case s.clientCtx.Err() != nil:
+	case s.client.ctx.Err() != nil:
 		s.end(ashwood.StatusCancelled)
 		err = ErrClientGone
 	default:
@@ -79,15 +79,17 @@
 // which ctx bounds. The decision module of this process does not know the request and makes no decisions about it,
 // but the end of the answer is reported to it.
 func (g *Gateway) Adopt(ctx context.Context, state HandoverState, open func(context.Context, Transport) (Stream, error)) (Stream, error) {
-	attemptCtx, cancel := context.WithCancelCause(ctx)
+	client := g.watchClient(ctx, &Request{RequestInfo: ashwood.RequestInfo{ID: state.ID, Class: state.Class}})
+	attemptCtx, cancel := context.WithCancelCause(client.ctx)
 	inner, err := open(attemptCtx, g.transport)
 	if err != nil {
 		cancel(nil)
+		client.release()
 		return nil, err
 	}
 	g.log.Debug("adopted", "id", state.ID, "class", state.Class, "engine", state.Engine.ID, "ms", g.clock.Now()-state.StartedAt)
 	return &stream{
-		Stream: inner, gateway: g, clientCtx: ctx, id: state.ID, engine: state.Engine, progress: g.progress.join(state.Engine.ID), cancel: cancel,
+		Stream: inner, gateway: g, client: client, id: state.ID, engine: state.Engine, progress: g.progress.join(state.Engine.ID), cancel: cancel,
 		class: state.Class, startedAt: state.StartedAt, pieceCount: 2, eventWait: state.EventWait,
 	}, nil
 }
@@ -96,6 +98,7 @@
 func (s *stream) Close() error {
 	s.end(ashwood.StatusCancelled)
 	s.cancel(nil)
+	s.client.release()
 	return s.Stream.Close()
 }
 
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -40,6 +40,10 @@
 	Target     string // path and query
 	Header     [][2]string
 	Body       []byte // as received
+	// ClientLeft reports whether the client has closed its connection or cancelled the request. It asks the connection itself, however
+	// late whoever reads from it is, and takes into account all that the client had sent when it was called; it gives up when
+	// ctx ends. nil = the end of Serve's context alone shows it.
+	ClientLeft func(ctx context.Context) bool
 }
 
 // AffinityKey converts the opaque name of a session or a prefix into the number that the
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -49,8 +49,9 @@
 }
 
 type classCounters struct {
-	ended   [numRequestEnds]atomic.Uint64
-	relayed atomic.Uint64
+	ended      [numRequestEnds]atomic.Uint64
+	relayed    atomic.Uint64
+	clientLeft atomic.Uint64
 }
 
 // New returns counters, all zero, for these classes; WriteStatsd writes them in this order.
@@ -78,6 +79,13 @@
 	}
 }
 
+// ClientLeft counts a request whose client left before its answer had begun.
+func (c *Counters) ClientLeft(class string) {
+	if counters := c.classes[class]; counters != nil {
+		counters.clientLeft.Add(1)
+	}
+}
+
 // HoldEnded counts the end of a hold.
 func (c *Counters) HoldEnded(end HoldEnd) {
 	if end >= 0 && end < numHoldEnds {
@@ -109,6 +117,7 @@
 		}{
 			{"fulfilled", counters.ended[Fulfilled].Load()}, {"throttled", counters.ended[Throttled].Load()},
 			{"faulted", counters.ended[Faulted].Load()}, {"relayed", counters.relayed.Load()},
+			{"client_left", counters.clientLeft.Load()},
 		} {
 			if _, err := fmt.Fprintf(w, "%s.%s.%s:%d|c\n", prefix, metric.name, class, metric.value); err != nil {
 				return fmt.Errorf("metrics: %w", err)
--- a/internal/platform/read_ahead.go
+++ b/internal/platform/read_ahead.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -28,7 +29,8 @@
 	discardBuffer = 64 << 10 // bytes; nothing is copied to it where the system can throw bytes away
 	// maxReceivedAtOnce bounds in bytes how long one connection is read without a pause.
 	maxReceivedAtOnce = 16 << 20
-	// disconnectCheckPause bounds what it costs to check a connection on which bytes keep arriving.
+	// disconnectCheckPause bounds what it costs to check a connection on which bytes keep arriving. Before an attempt it is
+	// checked without waiting.
 	disconnectCheckPause = 25 * time.Millisecond
 	roundPause           = time.Millisecond // between two parts of a check of maxReceivedAtOnce each
 )
@@ -68,6 +70,27 @@
 	}()
 }
 
+// clientLeft reports whether the client has closed its side or reset the connection. It takes all that has arrived, as a
+// close may stand behind that.
+func (c *clientConn) clientLeft(ctx context.Context) bool {
+	raw, err := rawConn(c.Conn)
+	if err != nil {
+		return sockcall.ConnPeerClosed(c.Conn)
+	}
+	for {
+		switch c.receiveArrived(raw, func() bool { return ctx.Err() != nil }) {
+		case clientLeft:
+			return true
+		case arrivedAll:
+			return false
+		}
+		if ctx.Err() != nil {
+			return false // there will be no attempt
+		}
+		time.Sleep(roundPause)
+	}
+}
+
 // disconnectWatch is the watch of a connection during one request.
 type disconnectWatch struct {
 	stopped atomic.Bool
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -240,6 +240,7 @@
 	logRequestRead(conn, ctx, req)
 	admitted := true
 	if conn != nil {
+		req.ClientLeft = conn.clientLeft
 		admitted = conn.beginRequest() && !conn.hasDroppedAhead()
 		conn.watchDisconnect(cancelClient)
 	}
--- a/internal/reqlog/reqlog.go
+++ b/internal/reqlog/reqlog.go
@@ -22,12 +22,13 @@
 
 // The states of a request.
 const (
-	Read     State = "read"     // completely, by a front
-	Refused  State = "refused"  // before any attempt, by a limit or a shutdown
-	Admitted State = "admitted" // by the router
-	Attempt  State = "attempt"  // an attempt is about to begin
-	Sent     State = "sent"     // the attempt's last byte has been written
-	Ended    State = "ended"    // by a shutdown, before its answer started
+	Read       State = "read"        // completely, by a front
+	Refused    State = "refused"     // before any attempt, by a limit or a shutdown
+	Admitted   State = "admitted"    // by the router
+	Attempt    State = "attempt"     // an attempt is about to begin
+	Sent       State = "sent"        // the attempt's last byte has been written
+	ClientLeft State = "client left" // the client has closed its connection or cancelled the request
+	Ended      State = "ended"       // by a shutdown, before its answer started
 )
 
 // Change is one change of a request's state.
@@ -47,7 +48,7 @@
 	if !log.Enabled(ctx, slog.LevelDebug) {
 		return
 	}
-	attrs := []slog.Attr{slog.String("id", truncate(change.ID)), slog.String("class", truncate(change.Class)), slog.String("state", string(change.State))}
+	attrs := []slog.Attr{slog.String("id", Truncate(change.ID)), slog.String("class", Truncate(change.Class)), slog.String("state", string(change.State))}
 	if change.Engine != "" {
 		attrs = append(attrs, slog.Int("attempt", change.Attempt), slog.String("engine", change.Engine))
 	}
@@ -60,7 +61,8 @@
 	log.LogAttrs(ctx, slog.LevelDebug, Message, append(attrs, extra...)...)
 }
 
-func truncate(text string) string { return text[:min(len(text), maxFieldBytes)] }
+// Truncate cuts a text that a client has sent to what a record may hold of it.
+func Truncate(text string) string { return text[:min(len(text), maxFieldBytes)] }
 
 // WithPhase returns a logger that adds the current phase of the process to each record.
 func WithPhase(log *slog.Logger, phase func() string) *slog.Logger {
