Run no request again whose id may have run, whatever its class

Cause: only ids of classes with an effect were remembered, and of these only where a decode engine may have run them. The protocol gives each try a new id and names no class.

Why this works: an id is remembered once an attempt at a server that decodes may have run. Where its client left and a prefill was given up, its server may be at it still: that id is remembered too, but not where the client got an answer, as it may try again. A process that takes an answer over remembers its id. The record holds hashes: over gRPC an id could have 256 KiB, 16,384 times.

TestServer_BytesUnchanged sent one id twice and sends two.

--- a/cmd/ashwood/leaving_test.go
+++ b/cmd/ashwood/leaving_test.go
@@ -14,9 +14,11 @@
 )
 
 // orderText is an order as sent on a connection.
-func orderText(id string, body string) string {
-	return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Txn: %s\r\nX-Lane: send-order\r\nX-Remaining: 6.000\r\nX-Labels: prompt_len=64,max_out=9\r\nContent-Length: %d\r\n\r\n%s",
-		id, len(body), body)
+func orderText(id string, body string) string { return requestText(id, "send-order", body) }
+
+func requestText(id, class, body string) string {
+	return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Txn: %s\r\nX-Lane: %s\r\nX-Remaining: 6.000\r\nX-Labels: prompt_len=64,max_out=9\r\nContent-Length: %d\r\n\r\n%s",
+		id, class, len(body), body)
 }
 
 // attemptsOf returns how often a request has reached the prefill and the decode engine.
@@ -89,47 +91,62 @@
 	}
 }
 
-// Guards against an order that runs twice where it comes again, with its id, after its client has left.
-func TestLeave_OrderComesAgain(t *testing.T) {
-	for _, answered := range []bool{false, true} {
-		f := newGatewayFixture(t)
-		f.startProcess().waitReady()
-		c, err := net.Dial("tcp", f.listenAddr)
-		if err != nil {
-			t.Fatal(err)
-		}
-		io.WriteString(c, orderText("order", "{}"))
-		<-f.started // its answer has begun
-		if answered {
-			close(f.nextPiece)
-			response, err := http.ReadResponse(bufio.NewReader(c), nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			f.checkAnswer(response)
-		}
-		c.Close()
-		again := func() int {
-			c, err := net.Dial("tcp", f.listenAddr)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer c.Close()
-			c.SetDeadline(time.Now().Add(testTimeout))
-			io.WriteString(c, orderText("order", "{}"))
-			response, err := http.ReadResponse(bufio.NewReader(c), nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			return response.StatusCode
-		}
-		for range 3 { // while the first ends, and after that
-			if status := again(); status != http.StatusConflict {
-				t.Errorf("answered %v: the order came again and was answered %d, want %d", answered, status, http.StatusConflict)
-			}
-		}
-		if _, decode := f.attemptsOf("order"); decode != 1 {
-			t.Errorf("answered %v: the order was sent to the decode engine %d times", answered, decode)
+// Guards against a request that runs twice where it comes again, with its id, after its client has left.
+func TestLeave_RequestComesAgain(t *testing.T) {
+	for _, class := range []string{"send-order", "case-chat"} {
+		for _, stage := range []string{"prefill", "answer", "answered"} {
+			t.Run(class+", left at "+stage, func(t *testing.T) {
+				f := newGatewayFixture(t)
+				if stage == "prefill" {
+					f.finishPrefill = make(chan struct{})
+				}
+				f.startProcess().waitReady()
+				text := requestText("again", class, "{}")
+				c, err := net.Dial("tcp", f.listenAddr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				io.WriteString(c, text)
+				<-f.started
+				if stage == "answered" {
+					close(f.nextPiece)
+					response, err := http.ReadResponse(bufio.NewReader(c), nil)
+					if err != nil {
+						t.Fatal(err)
+					}
+					f.checkAnswer(response)
+				}
+				c.Close()
+				for range 3 { // while the first ends, and after that
+					if status := sendAgain(t, f.listenAddr, text); status != http.StatusConflict {
+						t.Errorf("it came again and was answered %d, want %d", status, http.StatusConflict)
+					}
+				}
+				wantDecode := 1
+				if stage == "prefill" {
+					wantDecode = 0
+				}
+				if prefill, decode := f.attemptsOf("again"); prefill != 1 || decode != wantDecode {
+					t.Errorf("sent to the prefill engine %d times, to the decode engine %d times", prefill, decode)
+				}
+			})
 		}
 	}
 }
+
+// sendAgain sends a request on a new connection and returns the status of its answer.
+func sendAgain(t *testing.T, listen, text string) int {
+	t.Helper()
+	c, err := net.Dial("tcp", listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(testTimeout))
+	io.WriteString(c, text)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode
+}
--- a/facade.go
+++ b/facade.go
@@ -83,7 +83,7 @@
 	mu        sync.Mutex
 	scheduler *Scheduler
 	flights   map[RequestID]*flight
-	ran       ranRecord // requests that may have had an effect and have ended
+	ran       ranRecord // requests that may have run and have ended
 	timers    timerHeap
 	wake      chan struct{}
 }
@@ -96,7 +96,7 @@
 		return nil, err
 	}
 	return &Router{
-		clock: clock, probe: probe, scheduler: scheduler, flights: map[RequestID]*flight{}, wake: make(chan struct{}, 1),
+		clock: clock, probe: probe, scheduler: scheduler, flights: map[RequestID]*flight{}, ran: newRanRecord(), wake: make(chan struct{}, 1),
 	}, nil
 }
 
@@ -215,7 +215,7 @@
 	flight.inFlight--
 	flight.cancels[attempt]()
 	flight.done = flight.done || result.Status == StatusServed
-	flight.mayHaveRun = flight.mayHaveRun || r.mayHaveEffect(id, attempt) && !provesNotRun(result.Status)
+	flight.recordRun(r.decodes(id, attempt), result.Status)
 	r.handle(Outcome{
 		ID: id, Attempt: attempt, Server: r.attemptServer(id, attempt), Status: result.Status,
 		RequestDone: flight.done, Detail: result.Detail, Latency: duration(r.clock.Now() - flight.sentAt[attempt]), Report: result.Report,
@@ -223,6 +223,13 @@
 	return flight
 }
 
+// RecordRun records a request whose answer this process continues and another one has begun: it must not run here.
+func (r *Router) RecordRun(id RequestID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ran.add(id, r.clock.Now())
+}
+
 // Next waits for the step that follows a StepRelease.
 func (r *Router) Next(id RequestID) Step {
 	flight := r.findFlight(id)
--- a/flight.go
+++ b/flight.go
@@ -14,7 +14,9 @@
 	reserveNext    Server        // decode server to ask for a reservation while a prefill is in flight
 	releasePending bool
 	done           bool
-	mayHaveRun     bool // with an effect, so that it must not run again
+	clientLeft     bool // before the answer had begun
+	mayHaveRun     bool // at a server that decodes
+	mayBeInPrefill bool // at a server that has not shown the end of it
 	inFlight       int  // attempts
 	sentAt         []float64
 	cancels        []context.CancelFunc
@@ -56,19 +58,30 @@
 	return step
 }
 
-// removeFlight forgets a flight that has ended, but for the id of one that must not run again.
+// removeFlight forgets a flight that has ended, but for the id of one that must not run again: it may have run, or a server may be
+// at it still. A client that got an answer in the second case may try again.
 func (r *Router) removeFlight(id RequestID, flight *flight) {
 	delete(r.flights, id)
-	if flight.mayHaveRun {
+	if flight.mayHaveRun || flight.clientLeft && flight.mayBeInPrefill {
 		r.ran.add(id, r.clock.Now())
 	}
 }
 
-// mayHaveEffect reports whether an attempt may have an effect: it was at a server that answers, for a class that is not
-// to be run twice.
-func (r *Router) mayHaveEffect(id RequestID, attempt int) bool {
+// recordRun records whether an attempt that has ended may have run, or may be running still.
+func (f *flight) recordRun(decodes bool, status Status) {
+	switch {
+	case provesNotRun(status):
+	case decodes:
+		f.mayHaveRun = true
+	case status == StatusConnectionLost || status == StatusCancelled || status == StatusTimedOut:
+		f.mayBeInPrefill = true
+	}
+}
+
+// decodes reports whether an attempt was at a server that may produce the client's answer.
+func (r *Router) decodes(id RequestID, attempt int) bool {
 	request := r.scheduler.requests[id]
-	return request != nil && attempt < len(request.attempts) && request.attempts[attempt].decodes && request.class.Effect != Pure
+	return request != nil && attempt < len(request.attempts) && request.attempts[attempt].decodes
 }
 
 // checkDisconnect reports to the scheduler if a request's client has left. A step that has
@@ -77,7 +90,7 @@
 	if flight.done || flight.ctx.Err() == nil {
 		return
 	}
-	flight.done = true
+	flight.done, flight.clientLeft = true, true
 	r.handle(ClientDisconnected{id})
 	r.dropStep(id, flight)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -87,6 +87,7 @@
 		client.release()
 		return nil, err
 	}
+	g.router.RecordRun(state.ID)
 	g.log.Debug("adopted", "id", state.ID, "class", state.Class, "engine", state.Engine.ID, "ms", g.clock.Now()-state.StartedAt)
 	return &stream{
 		Stream: inner, gateway: g, client: client, id: state.ID, engine: state.Engine, progress: g.progress.join(state.Engine.ID), cancel: cancel,
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -177,14 +177,14 @@
 	got := make(chan engineRequest, 9)
 	c := startAndDial(t, scriptedEngine(t, "r1", "reader", scriptPrefill),
 		scriptedEngine(t, "w1", "writer", scriptDecode(func(s engineRequest) string { got <- s; return fullStream() })))
-	for range 2 { // on one connection
-		r, body, err := roundTrip(t, c, requestText("chat", "", `{"odd" :  "spacing"}`))
+	for _, id := range []string{"9b1f", "9b20"} { // on one connection
+		r, body, err := roundTrip(t, c, withID(requestText("chat", "", `{"odd" :  "spacing"}`), id))
 		if err != nil || r.StatusCode != 200 || body != firstEvent+lastEvents {
 			t.Fatalf("%v, %v, %q", r.Status, err, body)
 		}
 		s := <-got
 		s.conn = nil
-		want := engineRequest{Method: "POST", Target: "/v1/chat/completions?x=%2F", ID: "9b1f", Body: `{"odd" :  "spacing"}`}
+		want := engineRequest{Method: "POST", Target: "/v1/chat/completions?x=%2F", ID: id, Body: `{"odd" :  "spacing"}`}
 		if s != want {
 			t.Errorf("the decode engine got %+v, want %+v", s, want)
 		}
--- a/ran_record.go
+++ b/ran_record.go
@@ -1,15 +1,18 @@
 package ashwood
 
-// ranRecord remembers the ids of requests that may have had an effect, for some time after their end: a client may
+import "hash/maphash"
+
+// ranRecord remembers the ids of requests that may have run, for some time after their end: a client may
 // send such a request again, and it must not run twice. Its memory is bounded, whatever ids clients make up.
 type ranRecord struct {
-	endedAt map[RequestID]float64 // ms of the clock
-	ended   []endedRequest        // the oldest first
+	seed    maphash.Seed
+	endedAt map[uint64]float64 // ms of the clock, by the hash of the id
+	ended   []endedRequest     // the oldest first
 }
 
 type endedRequest struct {
-	id RequestID
-	at float64 // ms of the clock
+	hash uint64
+	at   float64 // ms of the clock
 }
 
 const (
@@ -19,16 +22,18 @@
 	maxRanIDs = 16384
 )
 
+func newRanRecord() ranRecord {
+	return ranRecord{seed: maphash.MakeSeed(), endedAt: map[uint64]float64{}}
+}
+
 // add remembers an id at a time, and forgets those that are too old.
 func (r *ranRecord) add(id RequestID, now float64) {
-	if r.endedAt == nil {
-		r.endedAt = map[RequestID]float64{}
-	}
-	r.endedAt[id] = now
-	r.ended = append(r.ended, endedRequest{id, now})
+	hash := maphash.String(r.seed, string(id))
+	r.endedAt[hash] = now
+	r.ended = append(r.ended, endedRequest{hash, now})
 	for len(r.ended) > maxRanIDs || now-r.ended[0].at > ranRetention {
-		if oldest := r.ended[0]; r.endedAt[oldest.id] == oldest.at {
-			delete(r.endedAt, oldest.id)
+		if oldest := r.ended[0]; r.endedAt[oldest.hash] == oldest.at {
+			delete(r.endedAt, oldest.hash)
 		}
 		r.ended = r.ended[1:]
 	}
@@ -36,6 +41,6 @@
 
 // contains reports whether an id is remembered at a time.
 func (r *ranRecord) contains(id RequestID, now float64) bool {
-	at, ok := r.endedAt[id]
+	at, ok := r.endedAt[maphash.String(r.seed, string(id))]
 	return ok && now-at <= ranRetention
 }
