Do not take every timeout for the end of a watch on a client's close

Cause: the watch took any error whose Timeout() is true for its own stop. ETIMEDOUT, by which a lost client's connection ends, is one; so is the deadline that the end of the process sets for requests that are being read, if the request begins just then. Class: a kind of error taken for one cause.

Why this works: the stop is a flag of the watch. A deadline that is not the stop's is removed and the watch goes on; every other error means that the client has left.

Other looks at Timeout() (an unanswered connect, the answer 408, discovery, admin) decide nothing about clients.

--- a/internal/platform/read_ahead.go
+++ b/internal/platform/read_ahead.go
@@ -62,14 +62,26 @@
 	go func() {
 		defer close(watch.done)
 		err := c.awaitDisconnect(watch)
-		netErr, ok := err.(net.Error)
-		stopped := ok && netErr.Timeout() // by stopWatch
-		if !stopped {
+		for errors.Is(err, os.ErrDeadlineExceeded) && c.resumeWatch(watch) {
+			err = c.awaitDisconnect(watch)
+		}
+		if !watch.stopped.Load() {
 			onDisconnect()
 		}
 	}()
 }
 
+// resumeWatch removes a read deadline that was not set to stop the watch, and reports whether the watch goes on: a limit on reading
+// requests may reach a connection just as its request begins.
+func (c *clientConn) resumeWatch(watch *disconnectWatch) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if watch.stopped.Load() {
+		return false
+	}
+	return c.Conn.SetReadDeadline(time.Time{}) == nil
+}
+
 // clientLeft reports whether the client has closed its side or reset the connection. It takes all that has arrived, as a
 // close may stand behind that.
 func (c *clientConn) clientLeft(ctx context.Context) bool {
