gRPC: ask the connection before each attempt whether its client has left or cancelled

A cancel is a frame: it takes effect once the goroutine that reads the connection has got to it, which may pause for up to 1 s behind quick calls or not have run. A call that waited for a free stream at an engine was not asked about again.

Why this works: the connection counts in one step what it takes from its socket, and Read is called again only when all frames before have taken effect. Before an attempt the front waits until all that had arrived when it was asked has been handled, and asks the socket for the close; where so much is unread that a close might have no room, it looks again. The wait ends with the attempt. It is asked a second time before the call's message, behind the wait for a stream: without its message a call does not run.

Tests of grpcfront and the gRPC tests of the program pass.

--- a/internal/grpcfront/call.go
+++ b/internal/grpcfront/call.go
@@ -1,6 +1,7 @@
 package grpcfront
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -19,7 +20,8 @@
 // engineCall is one RPC to an engine.
 type engineCall struct {
 	grpc.ClientStream
-	trailerSeen *atomic.Bool // a trailer came from the engine
+	trailerSeen *atomic.Bool       // a trailer came from the engine
+	cancel      context.CancelFunc // of the call; its context's parent ends it as well
 }
 
 var errNotReady = errors.New("grpcfront: not to be sent any more") // sent to clients
--- a/internal/grpcfront/engines.go
+++ b/internal/grpcfront/engines.go
@@ -242,10 +242,18 @@
 		ctx = metadata.AppendToOutgoingContext(ctx, name, value)
 	}
 	c = &engineCall{trailerSeen: &atomic.Bool{}}
-	ctx = context.WithValue(ctx, trailerSeenKey{}, c.trailerSeen)
+	ctx, c.cancel = context.WithCancel(context.WithValue(ctx, trailerSeenKey{}, c.trailerSeen))
+	defer func() {
+		if err != nil {
+			c.cancel()
+		}
+	}()
 	if c.ClientStream, err = cc.NewStream(ctx, &grpc.StreamDesc{ServerStreams: true}, method); err != nil {
 		return nil, fmt.Errorf("grpcfront: %s: %v", engine.ID, err)
 	}
+	if !mayWrite() { // it may have waited for a free stream; without its message the call does not run
+		return nil, errNotReady
+	}
 	if err = c.SendMsg(msg); errors.Is(err, io.EOF) {
 		err = c.RecvMsg(&rawMessage{}) // the status with which the engine ended the call before it had the request
 	}
--- a/internal/grpcfront/server.go
+++ b/internal/grpcfront/server.go
@@ -154,6 +154,9 @@
 	if err != nil {
 		return status.Error(codes.InvalidArgument, err.Error())
 	}
+	if call := callOf(serverStream.Context()); call != nil {
+		req.ClientLeft = func(ctx context.Context) bool { return call.conn.hasLeft(ctx, serverStream.Context()) }
+	}
 	reqlog.Write(s.log, reqlog.Change{ID: string(req.ID), Class: req.Class, State: reqlog.Read, Remaining: req.Remaining})
 	reply, err := s.handler.Serve(serverStream.Context(), req)
 	switch {
@@ -171,7 +174,7 @@
 	case gateway.Refused:
 		return refusalStatus(reply)
 	case gateway.ClientGone:
-		return status.FromContextError(context.Cause(serverStream.Context())).Err()
+		return departureStatus(serverStream.Context())
 	}
 	return failureStatus(reply.Err)
 }
--- a/internal/grpcfront/status.go
+++ b/internal/grpcfront/status.go
@@ -1,6 +1,7 @@
 package grpcfront
 
 import (
+	"context"
 	"errors"
 
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
@@ -31,6 +32,14 @@
 	return st.Err()
 }
 
+// departureStatus returns the status of a call whose client has left. The call's context may not have ended yet.
+func departureStatus(ctx context.Context) error {
+	if err := context.Cause(ctx); err != nil {
+		return status.FromContextError(err).Err()
+	}
+	return status.Error(codes.Canceled, "the client has left")
+}
+
 // failureStatus returns the status of a request that may have run. Its code must be none that a client repeats a
 // call after, and none by which this front says that a request has not run. An engine may end a call that has run
 // with any code and details, so only the code of a plain failure is kept.
