--- a/internal/platform/quick_answers.go
+++ b/internal/platform/quick_answers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
 )
 
@@ -29,3 +30,24 @@
 	now := time.Now()
 	return c.quickAnswers.AllowN(now, 1) && c.listener.quickAnswers.AllowN(now, 1)
 }
+
+// closeBehindAnswer has the connection closed behind the answer and logs the reason.
+func (c *clientConn) closeBehindAnswer(ctx *fasthttp.RequestCtx, reason string) {
+	c.listener.log.Debug("connection closed behind an answer", "why", reason, "status", ctx.Response.StatusCode(), "client", c.Conn.RemoteAddr())
+	ctx.SetConnectionClose()
+}
+
+// limitQuickAnswers closes the connection with an answer without an engine's work if it, or all connections together,
+// have had too many of these, or if no further request can be read from it. conn is nil where the host's listener is not
+// wrapped.
+func limitQuickAnswers(ctx *fasthttp.RequestCtx, conn *clientConn) {
+	if conn == nil {
+		return
+	}
+	switch {
+	case conn.hasDroppedAhead():
+		conn.closeBehindAnswer(ctx, "sent-ahead")
+	case !conn.mayKeepAfterQuickAnswer():
+		conn.closeBehindAnswer(ctx, "quick-answers")
+	}
+}
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -298,27 +298,6 @@
 	ctx.SetConnectionClose()
 }
 
-// closeBehindAnswer has the connection closed behind the answer and logs the reason.
-func (c *clientConn) closeBehindAnswer(ctx *fasthttp.RequestCtx, reason string) {
-	c.listener.log.Debug("connection closed behind an answer", "why", reason, "status", ctx.Response.StatusCode(), "client", c.Conn.RemoteAddr())
-	ctx.SetConnectionClose()
-}
-
-// limitQuickAnswers closes the connection with an answer without an engine's work if it, or all connections together,
-// have had too many of these, or if no further request can be read from it. conn is nil where the host's listener is not
-// wrapped.
-func limitQuickAnswers(ctx *fasthttp.RequestCtx, conn *clientConn) {
-	if conn == nil {
-		return
-	}
-	switch {
-	case conn.hasDroppedAhead():
-		conn.closeBehindAnswer(ctx, "sent-ahead")
-	case !conn.mayKeepAfterQuickAnswer():
-		conn.closeBehindAnswer(ctx, "quick-answers")
-	}
-}
-
 // logRequestRead logs a request that has been read, with the age of its connection and the number of
 // requests read from it, including this one.
 func logRequestRead(conn *clientConn, ctx *fasthttp.RequestCtx, req *gateway.Request) {
