Look again at a client's connection until nothing more comes

Cause, by a trace of each look: the process was stopped while it asked a client that still wrote. When it went on, the goroutine that watches the connection took what was there; the question behind it found nothing and took the client for present, while the rest of what it had sent, and its close, were on their way into the room just made.

Why this works: whoever took bytes, the answer counts only once nobody has taken any for 5 ms. A client that sends nothing ahead is asked once, as before. One that goes on sending without a pause has its request held until it stops, at most until its time is up, when it gets its answer.

What is found on a socket stands in a file of its own.

--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -301,6 +301,7 @@
 	quickAnswers           *rate.Limiter // nil before the first answer without an engine's work
 
 	receiving sync.Mutex // held while bytes that are sent ahead are taken; before mu
+	lastTaken time.Time  // when that took any; guarded by receiving
 
 	mu             sync.Mutex
 	readAhead      []byte
--- a/internal/platform/read_ahead.go
+++ b/internal/platform/read_ahead.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"sync/atomic"
 	"syscall"
@@ -25,25 +24,13 @@
 	// maxUnread is how many bytes may wait in the kernel where the listener's memory allows no more reading ahead: its receive
 	// buffer has room for them and a close behind. Beyond maxReadAheadExtended none may: how many make it full is not known.
 	maxUnread     = 8 << 10
-	receiveBuffer = 4 << 10  // bytes
-	discardBuffer = 64 << 10 // bytes; nothing is copied to it where the system can throw bytes away
-	// maxReceivedAtOnce bounds in bytes how long one connection is read without a pause.
-	maxReceivedAtOnce = 16 << 20
+	receiveBuffer = 4 << 10 // bytes
 	// disconnectCheckPause bounds what it costs to check a connection on which bytes keep arriving. Before an attempt it is
 	// checked without waiting.
 	disconnectCheckPause = 25 * time.Millisecond
 	roundPause           = time.Millisecond // between two parts of a check of maxReceivedAtOnce each
 )
 
-// arrival is what receiveArrived has found.
-type arrival int
-
-const (
-	arrivedAll  arrival = iota // nothing is left to take
-	arrivedMore                // there may be more
-	clientLeft                 // the client has closed its side or reset the connection
-)
-
 // watchDisconnect calls onDisconnect once if the client closes its side before stopWatch. Pipelined
 // requests do not hide the close: if they are more than may be read ahead and wait behind that, they are dropped, and the
 // connection is closed behind the request that runs.
@@ -53,7 +40,7 @@
 	if c.writeClosed {
 		return
 	}
-	if c.pipelined && sockcall.ConnPeerClosed(c.Conn) { // before the request begins: it may have been sent ahead of the close
+	if c.pipelined && sockcall.ConnPeerClosed(socketOf(c.Conn)) { // before the request begins: it may have been sent ahead of the close
 		onDisconnect()
 	}
 	c.Conn.SetReadDeadline(time.Time{})
@@ -87,20 +74,11 @@
 func (c *clientConn) clientLeft(ctx context.Context) bool {
 	raw, err := rawConn(c.Conn)
 	if err != nil {
-		return sockcall.ConnPeerClosed(c.Conn)
-	}
-	for {
-		switch c.receiveArrived(raw, func() bool { return ctx.Err() != nil }) {
-		case clientLeft:
-			return true
-		case arrivedAll:
-			return false
-		}
-		if ctx.Err() != nil {
-			return false // there will be no attempt
-		}
-		time.Sleep(roundPause)
+		return sockcall.ConnPeerClosed(socketOf(c.Conn))
 	}
+	return awaitQuiet(ctx, func() (lastTaken time.Time, state arrival) {
+		return c.receiveArrived(raw, func() bool { return ctx.Err() != nil })
+	})
 }
 
 // disconnectWatch is the watch of a connection during one request.
@@ -117,7 +95,7 @@
 		return c.readUntilDisconnect()
 	}
 	for {
-		switch c.receiveArrived(raw, watch.stopped.Load) {
+		switch _, state := c.receiveArrived(raw, watch.stopped.Load); state {
 		case clientLeft:
 			return io.EOF
 		case arrivedMore:
@@ -136,76 +114,48 @@
 	}
 }
 
-// rawConn returns the socket of a connection that is no more than a socket.
-func rawConn(conn net.Conn) (syscall.RawConn, error) {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return nil, errors.ErrUnsupported
+// receiveArrived takes what has arrived, without waiting, until stopped, and returns when anything was last taken. It may be called by
+// several goroutines at once.
+func (c *clientConn) receiveArrived(raw syscall.RawConn, stopped func() bool) (lastTaken time.Time, state arrival) {
+	c.receiving.Lock()
+	defer c.receiving.Unlock()
+	taken, state := c.takeArrived(raw, stopped)
+	if taken > 0 {
+		c.lastTaken = time.Now()
 	}
-	return socket.SyscallConn()
+	return c.lastTaken, state
 }
 
-// receiveArrived takes what has arrived, without waiting, until stopped. It may be called by several goroutines at once.
-func (c *clientConn) receiveArrived(raw syscall.RawConn, stopped func() bool) arrival {
-	c.receiving.Lock()
-	defer c.receiving.Unlock()
+// takeArrived is receiveArrived for a caller that holds c.receiving; it returns how many bytes it took.
+func (c *clientConn) takeArrived(raw syscall.RawConn, stopped func() bool) (taken int, state arrival) {
 	var buffer [receiveBuffer]byte
-	for received := 0; received < maxReceivedAtOnce && !stopped(); {
-		if c.mayKeepMore() {
-			n, state := receive(raw, func(fd int) (int, error) { return sockcall.Receive(fd, buffer[:]) })
-			c.keepAhead(buffer[:n])
-			if received += n; n == 0 {
-				return state
-			}
-			continue
-		}
-		if !c.hasDroppedAhead() {
-			if state := c.checkUnread(raw); state != arrivedMore {
-				return state
-			}
-			c.dropAhead()
+	for c.mayKeepMore() {
+		if stopped() {
+			return taken, arrivedMore
 		}
-		n, state := receive(raw, func(fd int) (int, error) { return sockcall.Discard(fd, c.listener.discarded[:]) })
-		if received += n; n == 0 {
-			return state
+		n, state := receive(raw, func(fd int) (int, error) { return sockcall.Receive(fd, buffer[:]) })
+		c.keepAhead(buffer[:n])
+		if taken += n; n == 0 {
+			return taken, state
 		}
 	}
-	return arrivedMore
-}
-
-// receive takes bytes from a socket without waiting. If it took none, the state says whether the client has left.
-func receive(raw syscall.RawConn, take func(fd int) (int, error)) (n int, state arrival) {
-	left := false
-	err := sockcall.DoRaw(raw, func(fd int) (err error) {
-		if left = sockcall.PeerClosed(fd); !left {
-			n, err = take(fd)
+	if !c.hasDroppedAhead() {
+		if state := c.checkUnread(raw); state != arrivedMore {
+			return taken, state
 		}
-		return err
-	})
-	switch {
-	case left, err != nil && !errors.Is(err, syscall.EAGAIN), err == nil && n == 0:
-		return 0, clientLeft
-	case err != nil:
-		return 0, arrivedAll
+		c.dropAhead()
 	}
-	return n, arrivedMore
+	n, state := discardArrived(raw, c.listener.discarded, stopped)
+	return taken + n, state
 }
 
 // checkUnread reports whether more has arrived than may wait unread, or whether the client has left.
 func (c *clientConn) checkUnread(raw syscall.RawConn) arrival {
-	unread, state := 0, arrivedAll
-	allowed := c.allowedUnread()
-	err := sockcall.DoRaw(raw, func(fd int) (err error) {
-		if sockcall.PeerClosed(fd) {
-			state = clientLeft
-		}
-		unread, err = sockcall.UnreadBytes(fd)
-		return err
-	})
+	closed, unread := inspect(raw)
 	switch {
-	case state == clientLeft || errors.Is(err, net.ErrClosed):
+	case closed:
 		return clientLeft
-	case err == nil && unread > allowed:
+	case unread > c.allowedUnread():
 		return arrivedMore
 	}
 	return arrivedAll
