Ask the connections of hosts' own servers whether the client has left

Cause: net/http stops looking once a byte has come; fasthttp never looks.

Why this works: Fiber's requests have their socket at hand, those of net/http with http.Server.ConnContext (middleware.ConnContext, new). It is asked before each attempt. Where over 64 KiB are unread, so that a close might have no room, they are dropped and the connection closes behind the answer; on HTTP/2, where requests share a connection, nothing is taken.

--- a/internal/platform/nethttp.go
+++ b/internal/platform/nethttp.go
@@ -30,7 +30,7 @@
 }
 
 // ServeHTTP answers a request. A client's disconnect is noticed through the request's context, which
-// net/http cancels.
+// net/http cancels, and where the host's server has ConnContext, before each attempt through the connection itself.
 func (n *NetHTTP) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	streamStarted := false // once an answer has started, no other status can be sent
 	defer func() {
@@ -52,7 +52,14 @@
 		n.rejectRequest(w, code, err)
 		return
 	}
+	conn := hostConnOf(r)
+	if conn != nil {
+		req.ClientLeft = conn.clientLeft
+	}
 	reply, err := n.Handler.Serve(r.Context(), req)
+	if conn != nil && conn.dropped.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	switch {
 	case errors.Is(err, ashwood.ErrDuplicate):
 		n.rejectRequest(w, http.StatusConflict, err)
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -243,6 +243,14 @@
 		req.ClientLeft = conn.clientLeft
 		admitted = conn.beginRequest() && !conn.hasDroppedAhead()
 		conn.watchDisconnect(cancelClient)
+	} else {
+		host := &hostConn{conn: ctx.Conn()}
+		req.ClientLeft = host.clientLeft
+		defer func() {
+			if host.dropped.Load() {
+				ctx.SetConnectionClose()
+			}
+		}()
 	}
 	endRequest := func() {
 		cancelClient()
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -5,6 +5,7 @@
 package middleware
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"net/http"
@@ -42,6 +43,12 @@
 // application's ReadTimeout limits later ones.
 func Listener(l net.Listener) net.Listener { return platform.WrapListener(l) }
 
+// ConnContext is for the ConnContext of a host's http.Server. Without it, a client that closes its connection behind bytes that it has sent
+// ahead of its answer is not noticed.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return platform.ConnContext(ctx, conn)
+}
+
 // HTTP returns a handler for net/http. It answers every request that it gets. The log gets
 // faults that no answer shows; nil logs nothing.
 //
