Tell an engine the time that is left behind the look at the client's connection

Cause: the header with the remaining time was set before the question whether the attempt may be written, which may wait since it looks at the client's connection. Over gRPC the headers go ahead of the wait for a free stream and of the second question. Class: a value read before a wait and used behind it.

Why this works: HTTP/1.1 sets the header behind the question. A gRPC call whose headers are older than 0.1 s gets no message, so it does not run.

--- a/internal/grpcfront/engines.go
+++ b/internal/grpcfront/engines.go
@@ -38,6 +38,7 @@
 	keepaliveInterval     = 10 * time.Second // on a connection with calls in flight
 	keepaliveTimeout      = 2 * time.Second
 	idleTimeout           = time.Minute
+	maxHeaderAge          = 100 * time.Millisecond // of a call whose message is sent: its headers tell the time that the client has left
 )
 
 // Engines is the transport to engines: one connection to each engine carries all
@@ -237,6 +238,7 @@
 	if !mayWrite() {
 		return nil, errNotReady
 	}
+	headersAt := time.Now()
 	for _, header := range headers {
 		name, value := header()
 		ctx = metadata.AppendToOutgoingContext(ctx, name, value)
@@ -251,7 +253,8 @@
 	if c.ClientStream, err = cc.NewStream(ctx, &grpc.StreamDesc{ServerStreams: true}, method); err != nil {
 		return nil, fmt.Errorf("grpcfront: %s: %v", engine.ID, err)
 	}
-	if !mayWrite() { // it may have waited for a free stream; without its message the call does not run
+	// It may have waited for a free stream; without its message the call does not run.
+	if !mayWrite() || time.Since(headersAt) > maxHeaderAge {
 		return nil, errNotReady
 	}
 	if err = c.SendMsg(msg); errors.Is(err, io.EOF) {
--- a/internal/platform/engines.go
+++ b/internal/platform/engines.go
@@ -202,9 +202,10 @@
 	header.Set(headerID, string(attempt.ID))
 	header.SetContentLength(len(attempt.Body))
 	start := e.clock.Now()
-	mayWrite := func() bool { // the time spent on connecting counts against the remaining time
+	mayWrite := func() bool { // it may wait; the time spent on that and on connecting counts against the remaining time
+		allowed := attempt.MayWrite()
 		header.Set(headerRemaining, strconv.FormatFloat(max(attempt.Remaining-(e.clock.Now()-start), 0)/1000, 'f', 3, 64))
-		return attempt.MayWrite()
+		return allowed
 	}
 	var response fasthttp.ResponseHeader
 	choice := anyConn
