Soak: clients that leave while they send at full speed, and paused gateways

Cause: no story had clients that write until they leave, and the checker excused an attempt behind a close by the time for which the gateway was paused. The close waits at the gateway's machine, so a pause is no excuse; the check is stricter by that.

--- a/cmd/ashlab/soak.go
+++ b/cmd/ashlab/soak.go
@@ -15,7 +15,7 @@
 	var first uint64
 	var seeds, parallel int
 	var length time.Duration
-	var script, silence, termination, flood bool
+	var script, silence, termination, flood, departure bool
 	options := soak.Options{LogLevel: "debug"}
 	cmd := &cobra.Command{
 		Use: "soak", Args: cobra.NoArgs, Short: "Play scenarios of overlapping faults on real processes, one for each seed",
@@ -48,6 +48,8 @@
 							faultScenario = soak.GenerateTermination(seed, length)
 						case flood:
 							faultScenario = soak.GenerateFlood(seed, length)
+						case departure:
+							faultScenario = soak.GenerateDeparture(seed, length)
 						}
 						if options.Logs != "" {
 							playOptions.Logs = filepath.Join(options.Logs, fmt.Sprint(seed))
@@ -92,7 +94,8 @@
 	cmd.Flags().BoolVar(&silence, "silence", false, "scenarios in which all engines fall silent and come back one by one")
 	cmd.Flags().BoolVar(&termination, "ending", false, "scenarios in which gateways get SIGTERM and are paused around it")
 	cmd.Flags().BoolVar(&flood, "flood", false, "scenarios in which clients send unsound requests at full speed and engines stop short")
-	cmd.MarkFlagsMutuallyExclusive("silence", "ending", "flood")
+	cmd.Flags().BoolVar(&departure, "leave", false, "scenarios in which clients leave while they send at full speed and gateways are paused")
+	cmd.MarkFlagsMutuallyExclusive("silence", "ending", "flood", "leave")
 	cmd.Flags().BoolVar(&script, "script", false, "print the script of every scenario")
 	cmd.Flags().StringVar(&options.Program, "program", "", "daemon to start; default: ashwood in this program's folder")
 	cmd.Flags().StringVar(&options.Logs, "logs", "", "folder for the gateways' logs, with a folder for each seed")
--- a/lab/soak/checker_attempts.go
+++ b/lab/soak/checker_attempts.go
@@ -57,7 +57,7 @@
 		}
 	}
 	if !r.leftAt.IsZero() && reachableAt(r.leftAt) {
-		if late := began.Sub(r.leftAt) - c.pausedBetweenLocked(gateway, r.leftAt, now); late > cancelSlack {
+		if late := began.Sub(r.leftAt); late > cancelSlack { // a pause is no excuse: the close waits at the gateway's machine
 			c.addViolation(RuleLost, r, "an attempt at engine %d began %v after its client had closed its connection", engine, late)
 		}
 	}
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -191,8 +191,13 @@
 func (c *client) awaitAnswer(ctx context.Context, id string, class Class, writtenAt time.Time) (outcome string) {
 	conn := c.conn
 	leave := make(chan struct{})
-	if c.kind == ClientClosesEarly && c.rng.Float64() < earlyCloseShare {
+	switch {
+	case c.kind == ClientClosesEarly && c.rng.Float64() < earlyCloseShare:
+		defer c.closeAfter(c.durationBetween(0, maxTimeToClose), id, leave)()
+	case c.kind == ClientFloodsAndLeaves:
+		defer c.closeConnection() // whatever is answered, no further request can be read from it
 		defer c.closeAfter(c.durationBetween(0, maxTimeToClose), id, leave)()
+		go floodAhead(conn)
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
--- a/lab/soak/scenario.go
+++ b/lab/soak/scenario.go
@@ -92,14 +92,15 @@
 
 // The kinds of clients.
 const (
-	ClientSteady          ClientKind = "steady"     // sends a request, waits for the whole answer, sends the next
-	ClientClosesEarly     ClientKind = "leaver"     // closes its connection before the answer to many of its requests is complete
-	ClientRetriesAtOnce   ClientKind = "retrier"    // sends the next request at once after a refusal
-	ClientIdlesLong       ClientKind = "rester"     // keeps its connection idle for long between requests
-	ClientStopsMidRequest ClientKind = "half-way"   // stops writing in the middle of some requests
-	ClientReconnects      ClientKind = "newcomer"   // opens a new connection for each request
-	ClientSilent          ClientKind = "crowd-idle" // opens a connection and sends nothing
-	ClientFloods          ClientKind = "flood"      // sends requests of unknown classes at full speed
+	ClientSteady          ClientKind = "steady"       // sends a request, waits for the whole answer, sends the next
+	ClientClosesEarly     ClientKind = "leaver"       // closes its connection before the answer to many of its requests is complete
+	ClientRetriesAtOnce   ClientKind = "retrier"      // sends the next request at once after a refusal
+	ClientIdlesLong       ClientKind = "rester"       // keeps its connection idle for long between requests
+	ClientStopsMidRequest ClientKind = "half-way"     // stops writing in the middle of some requests
+	ClientReconnects      ClientKind = "newcomer"     // opens a new connection for each request
+	ClientSilent          ClientKind = "crowd-idle"   // opens a connection and sends nothing
+	ClientFloods          ClientKind = "flood"        // sends requests of unknown classes at full speed
+	ClientFloodsAndLeaves ClientKind = "flood-leaver" // sends at full speed behind each request, and closes its connection soon
 )
 
 // Client describes one client, which has at most one request in flight.
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -63,6 +63,16 @@
 	playSeeds(t, floodSeeds, shortFloodSeeds, GenerateFlood)
 }
 
+// departureSeeds are seeds of scenarios with clients that leave while they send at full speed, the first shortDepartureSeeds for -short.
+var departureSeeds = []uint64{1, 2, 3, 4}
+
+const shortDepartureSeeds = 1
+
+// Guards against attempts for clients that have left.
+func TestSoak_ClientsLeaveWhileSending(t *testing.T) {
+	playSeeds(t, departureSeeds, shortDepartureSeeds, GenerateDeparture)
+}
+
 func playSeeds(t *testing.T, seeds []uint64, shortCount int, generate func(uint64, time.Duration) *FaultScenario) {
 	t.Helper()
 	if testing.Short() {
@@ -94,7 +104,7 @@
 	if !reflect.DeepEqual(a, b) || a.String() != b.String() {
 		t.Errorf("one seed gave two scenarios:\n%s\n%s", a, b)
 	}
-	for name, generate := range map[string]func(uint64, time.Duration) *FaultScenario{"silence": GenerateSilence, "endings": GenerateTermination, "floods": GenerateFlood} {
+	for name, generate := range map[string]func(uint64, time.Duration) *FaultScenario{"silence": GenerateSilence, "endings": GenerateTermination, "floods": GenerateFlood, "departures": GenerateDeparture} {
 		if x, y := generate(5, scenarioLength), generate(5, scenarioLength); !reflect.DeepEqual(x, y) || reflect.DeepEqual(x.Events, a.Events) {
 			t.Errorf("one seed gave two %s scenarios, or the events of Generate:\n%s\n%s", name, x, y)
 		}
