Make no attempt where a look at the client's connection takes over 0.1 s

Cause: the look at the client's connection had no bound but the attempt's own. Class: work for one client that costs others.

The request's log has the state 'client unknown'.

--- a/cmd/ashwood/leaving_test.go
+++ b/cmd/ashwood/leaving_test.go
@@ -150,3 +150,22 @@
 	}
 	return response.StatusCode
 }
+
+// Guards against a client without a final answer that goes on sending behind its request and stays.
+func TestLeave_ClientThatStaysIsAnswered(t *testing.T) {
+	const answeredWithin = 2 * time.Second // of the 5 s for which it would wait
+	fleet := &refusingFleet{arrivals: map[string][]time.Time{}}
+	_, listen, _ := startProgram(t, configJSON(startDiscovery(t, fleet.start(t)), "null"), "")
+	c, err := net.Dial("tcp", listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(answeredWithin))
+	io.WriteString(c, postText("stays", "send-order", "prompt_len=64,max_out=9", "{}"))
+	go sendAtFullSpeed("\x00")(c, time.Now().Add(answeredWithin))
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable || !response.Close {
+		t.Errorf("answered %v, %v", response, err)
+	}
+}
--- a/gateway/client.go
+++ b/gateway/client.go
@@ -28,15 +28,30 @@
 // release ends the watch: the request has ended.
 func (w *clientWatch) release() { w.end(nil) }
 
-// hasLeft asks the connection whether the client has left: its reader may not have run since. If so, the request ends.
-func (w *clientWatch) hasLeft(ctx context.Context) bool {
-	if w.request.ClientLeft != nil && w.ctx.Err() == nil && w.request.ClientLeft(ctx) {
+// presenceTimeout is how many ms a look at the client's connection may take, for example while the client goes on sending. An attempt
+// is not made then: its engine must not seem slow for it.
+const presenceTimeout = 100
+
+// isPresent asks the connection whether the client is still there: its reader may not have run since. If the client has left, the
+// request ends. It returns false if that can't be known within presenceTimeout, or before ctx ends.
+func (w *clientWatch) isPresent(ctx context.Context) bool {
+	if w.request.ClientLeft == nil || w.ctx.Err() != nil {
+		return w.ctx.Err() == nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer w.gateway.clock.AfterFunc(presenceTimeout, cancel)()
+	if w.request.ClientLeft(ctx) {
 		w.end(ErrClientGone)
-		reqlog.Write(w.gateway.log, reqlog.Change{
-			ID: string(w.request.ID), Class: w.request.Class, State: reqlog.ClientLeft, Reason: "found before an attempt",
-		})
+		w.log(reqlog.ClientLeft, "found before an attempt")
+	} else if ctx.Err() != nil {
+		w.log(reqlog.ClientUnknown, "it goes on sending, or its connection is read late")
 	}
-	return w.ctx.Err() != nil
+	return w.ctx.Err() == nil && ctx.Err() == nil
+}
+
+func (w *clientWatch) log(state reqlog.State, reason string) {
+	reqlog.Write(w.gateway.log, reqlog.Change{ID: string(w.request.ID), Class: w.request.Class, State: state, Reason: reason})
 }
 
 // leftByItself reports whether the watched context has ended because the client left, and not because the caller gave the
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -208,7 +208,7 @@
 	result := g.transport.Send(attemptCtx, Attempt{
 		Request: request, Engine: step.Engine, Prefill: step.Prefill, NonIdempotent: step.NonIdempotent, Remaining: step.Timeout,
 		MayWrite: func() bool {
-			if client.hasLeft(attemptCtx) {
+			if !client.isPresent(attemptCtx) {
 				return false
 			}
 			late := step.SendBefore > 0 && g.clock.Now() >= step.SendBefore
--- a/internal/reqlog/reqlog.go
+++ b/internal/reqlog/reqlog.go
@@ -22,13 +22,14 @@
 
 // The states of a request.
 const (
-	Read       State = "read"        // completely, by a front
-	Refused    State = "refused"     // before any attempt, by a limit or a shutdown
-	Admitted   State = "admitted"    // by the router
-	Attempt    State = "attempt"     // an attempt is about to begin
-	Sent       State = "sent"        // the attempt's last byte has been written
-	ClientLeft State = "client left" // the client has closed its connection or cancelled the request
-	Ended      State = "ended"       // by a shutdown, before its answer started
+	Read          State = "read"           // completely, by a front
+	Refused       State = "refused"        // before any attempt, by a limit or a shutdown
+	Admitted      State = "admitted"       // by the router
+	Attempt       State = "attempt"        // an attempt is about to begin
+	Sent          State = "sent"           // the attempt's last byte has been written
+	ClientLeft    State = "client left"    // the client has closed its connection or cancelled the request
+	ClientUnknown State = "client unknown" // whether the client is still there; the attempt is not made
+	Ended         State = "ended"          // by a shutdown, before its answer started
 )
 
 // Change is one change of a request's state.
