--- a/cmd/ashwood/grpc_flood_test.go
+++ b/cmd/ashwood/grpc_flood_test.go
@@ -42,19 +42,25 @@
 	{"calls cancelled at once", nil},
 }
 
-// cancelCalls begins calls and cancels them at once, until stop is closed, on a new connection whenever the gateway closes
-// one. It writes the frames itself: the library's client is too slow for it.
-func cancelCalls(front string, sent *atomic.Int64, stop chan struct{}) {
-	const batch = 20
+// generateHeader returns the encoded metadata of a Generate call. Its fields are not in the table, so that the same bytes serve for each call.
+func generateHeader() []byte {
 	var header bytes.Buffer
 	fields := hpack.NewEncoder(&header)
 	for _, field := range []hpack.HeaderField{
 		{Name: ":method", Value: "POST"}, {Name: ":scheme", Value: "http"}, {Name: ":path", Value: ashwoodpb.Inference_Generate_FullMethodName},
 		{Name: ":authority", Value: "a"}, {Name: "content-type", Value: "application/grpc"}, {Name: "te", Value: "trailers"},
 	} {
-		field.Sensitive = true // not in the table, so that the same bytes serve for each call
+		field.Sensitive = true
 		fields.WriteField(field)
 	}
+	return header.Bytes()
+}
+
+// cancelCalls begins calls and cancels them at once, until stop is closed, on a new connection whenever the gateway closes
+// one. It writes the frames itself: the library's client is too slow for it.
+func cancelCalls(front string, sent *atomic.Int64, stop chan struct{}) {
+	const batch = 20
+	header := generateHeader()
 	for {
 		c, err := net.Dial("tcp", front)
 		if err != nil {
@@ -78,7 +84,7 @@
 		framer.WriteSettings()
 		for stream := uint32(1); err == nil; {
 			for range batch {
-				framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: header.Bytes(), EndHeaders: true})
+				framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: header, EndHeaders: true})
 				framer.WriteRSTStream(stream, http2.ErrCodeCancel)
 				stream += 2
 			}
--- a/cmd/ashwood/grpc_leaving_test.go
+++ b/cmd/ashwood/grpc_leaving_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"golang.org/x/net/http2"
-	"golang.org/x/net/http2/hpack"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/protobuf/proto"
@@ -95,20 +94,11 @@
 // writeCall writes the frames of a Generate call.
 func writeCall(t *testing.T, framer *http2.Framer, stream uint32, request *ashwoodpb.GenerateRequest) {
 	t.Helper()
-	var header bytes.Buffer
-	fields := hpack.NewEncoder(&header)
-	for _, field := range []hpack.HeaderField{
-		{Name: ":method", Value: "POST"}, {Name: ":scheme", Value: "http"}, {Name: ":path", Value: ashwoodpb.Inference_Generate_FullMethodName},
-		{Name: ":authority", Value: "a"}, {Name: "content-type", Value: "application/grpc"}, {Name: "te", Value: "trailers"},
-	} {
-		field.Sensitive = true
-		fields.WriteField(field)
-	}
 	message, err := proto.Marshal(request)
 	if err != nil {
 		t.Fatal(err)
 	}
-	framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: header.Bytes(), EndHeaders: true})
+	framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: generateHeader(), EndHeaders: true})
 	framer.WriteData(stream, true, append(binary.BigEndian.AppendUint32([]byte{0}, uint32(len(message))), message...))
 }
 
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -24,6 +24,7 @@
 
 func newListener(l net.Listener, limit int) *listener {
 	wrapped := &listener{Listener: l, started: time.Now(), maxConns: limit, limit: limit, log: slog.New(slog.DiscardHandler), memory: newRequestMemory(), quickAnswers: newQuickAnswerLimit(quickAnswersPerFront), discarded: make([]byte, discardBuffer)}
+	wrapped.receiveBuffers.New = func() any { return new([receiveBuffer]byte) }
 	wrapped.changed.L = &wrapped.mu
 	return wrapped
 }
@@ -43,6 +44,8 @@
 	quickAnswers *rate.Limiter // over all connections
 	discarded    []byte        // what connections drop; never read
 
+	receiveBuffers sync.Pool // of *[receiveBuffer]byte, for what connections read ahead
+
 	mu                sync.Mutex
 	limit             int // this process's part of maxConns
 	open              int
--- a/internal/platform/host_conn.go
+++ b/internal/platform/host_conn.go
@@ -26,7 +26,6 @@
 	if err != nil {
 		return false
 	}
-	var buffer [discardBuffer]byte
 	return awaitQuiet(ctx, func() (time.Time, arrival) {
 		closed, unread := inspect(raw)
 		switch {
@@ -36,7 +35,7 @@
 			return h.lastTaken, arrivedAll
 		}
 		h.dropped.Store(true)
-		_, state := discardArrived(raw, buffer[:], func() bool { return ctx.Err() != nil })
+		_, state := discardArrived(raw, make([]byte, discardBuffer), func() bool { return ctx.Err() != nil })
 		h.lastTaken = time.Now()
 		return h.lastTaken, state
 	})
--- a/internal/platform/read_ahead.go
+++ b/internal/platform/read_ahead.go
@@ -128,7 +128,8 @@
 
 // takeArrived is receiveArrived for a caller that holds c.receiving; it returns how many bytes it took.
 func (c *clientConn) takeArrived(raw syscall.RawConn, stopped func() bool) (taken int, state arrival) {
-	var buffer [receiveBuffer]byte
+	buffer := c.listener.receiveBuffers.Get().(*[receiveBuffer]byte)
+	defer c.listener.receiveBuffers.Put(buffer)
 	for c.mayKeepMore() {
 		if stopped() {
 			return taken, arrivedMore
