Look at 2 MiB of one client's connection at a time

Cause: a look at a connection went on for up to 16 MiB, which a client that writes meanwhile keeps full; beside 30 of them a new request was read over 0.2 s late, and the time told counts from its read. Class: work for one client that costs others.

Why this works: a look takes 2 MiB, and the next one follows 25 ms later.

--- a/internal/platform/arrivals.go
+++ b/internal/platform/arrivals.go
@@ -15,7 +15,7 @@
 const (
 	discardBuffer = 64 << 10 // bytes; nothing is copied to it where the system can throw bytes away
 	// maxReceivedAtOnce is how many bytes of one connection are dropped without a pause.
-	maxReceivedAtOnce = 16 << 20
+	maxReceivedAtOnce = 2 << 20
 	// settleTime is how long what follows may take to arrive once there is room for it: a close may stand behind it.
 	settleTime = 5 * time.Millisecond
 )
--- a/internal/platform/read_ahead.go
+++ b/internal/platform/read_ahead.go
@@ -28,7 +28,6 @@
 	// disconnectCheckPause bounds what it costs to check a connection on which bytes keep arriving. Before an attempt it is
 	// checked without waiting.
 	disconnectCheckPause = 25 * time.Millisecond
-	roundPause           = time.Millisecond // between two parts of a check of maxReceivedAtOnce each
 )
 
 // watchDisconnect calls onDisconnect once if the client closes its side before stopWatch. Pipelined
@@ -102,7 +101,7 @@
 			if watch.stopped.Load() {
 				return os.ErrDeadlineExceeded
 			}
-			time.Sleep(roundPause)
+			time.Sleep(disconnectCheckPause)
 			continue
 		}
 		if c.hasDroppedAhead() {
